--- a/crates/feed-follow/src/link/mod.rs
+++ b/crates/feed-follow/src/link/mod.rs
@@ -89,6 +89,7 @@
     wire.send(encode(&hello)).await.ok()?;
     let mut last = Instant::now();
     let mut opened = 0;
+    let mut talks = true;
     let mut announce = status.borrow_and_update().clone().is_some();
     let mut next_word = Instant::now();
     loop {
@@ -140,10 +141,11 @@
                     }
                 }
             }
-            r = status.changed() => {
-                r.ok()?;
-                announce = true;
-            }
+            // A follower with nothing to say has dropped its end.
+            r = status.changed(), if talks => match r {
+                Ok(()) => announce = true,
+                Err(_) => talks = false,
+            },
             _ = tokio::time::sleep_until(wake.into()) => {
                 if Instant::now() >= last + env.silence {
                     return None;
--- /dev/null
+++ b/crates/request-proxy/src/app/feed.rs
@@ -0,0 +1,75 @@
+//! News from the agent beside, and regular housekeeping.
+use super::locked;
+use crate::prelude::*;
+use node_base::env::AGENT_PORT;
+
+pub fn follow_agent(app: &Arc<App>) {
+    let (tx, mut rx) = mpsc::channel(256);
+    let (_word, no_word) = watch::channel(None);
+    let follow = FollowEnv {
+        name: app.env.node_name.clone(),
+        seeds: vec!["127.0.0.1".into()],
+        feed_port: app.env.internal_ports.0 + AGENT_PORT,
+        fixed: true,
+        silence: Duration::from_secs(3600),
+    };
+    tokio::spawn(follow_cells(follow, tx, no_word));
+    let app = app.clone();
+    tokio::spawn(async move {
+        let mut view = FeedView::default();
+        while let Some(n) = rx.recv().await {
+            let News::Items(items) = n else { continue };
+            for item in items {
+                if view.take(&item) {
+                    app.news(&item);
+                }
+            }
+            if view.current && view.config.is_some() && app.live().is_some() {
+                app.live_on(LifeEvent::Current);
+            }
+        }
+    });
+}
+
+pub fn sweep_regularly(app: &Arc<App>) {
+    let app = app.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(Duration::from_secs(5)).await;
+            let now = app.now();
+            locked(&app.sched).index.sweep(now);
+            app.pool.sweep(Instant::now());
+        }
+    });
+}
+
+impl App {
+    fn news(&self, item: &FeedItem) {
+        match item {
+            FeedItem::Config { serial, body, .. } => match check_config(body) {
+                Ok(cfg) => {
+                    let live = Live {
+                        serial: *serial,
+                        ways: WayTable::new(&cfg),
+                        services: cfg.services.iter().map(|s| (s.name.clone(), s.clone())).collect(),
+                        header_bytes: cfg.limits.header_bytes,
+                        body_bytes: cfg.limits.body_bytes,
+                        idle_time: cfg.limits.idle_time,
+                    };
+                    info!("configuration {} in force", serial);
+                    *locked(&self.live) = Some(Arc::new(live));
+                }
+                // The cells checked it with the same code.
+                Err(f) => warn!("configuration {} can't be read: {} faults", serial, f.len()),
+            },
+            FeedItem::Stores(set) => self.bank.learn(set.clone()),
+            FeedItem::Area(t) => {
+                let mut sched = locked(&self.sched);
+                sched.learn(t);
+                drop(sched);
+                self.pump();
+            }
+            FeedItem::Cells { .. } | FeedItem::Current | FeedItem::Beat => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/request-proxy/src/app/mod.rs
@@ -0,0 +1,107 @@
+//! What the proxy's workers share.
+mod feed;
+
+pub use feed::{follow_agent, sweep_regularly};
+
+use crate::prelude::*;
+
+/// A configuration in force, ready for use.
+pub struct Live {
+    pub serial: u64,
+    pub ways: WayTable,
+    pub services: HashMap<String, Arc<ServiceEnv>>,
+    pub header_bytes: usize,
+    pub body_bytes: usize,
+    pub idle_time: Duration,
+}
+
+/// The proxy's whole state, passed down by reference. Lock order: `live`, `life`, `sched`, `tickets`,
+/// the pool's, the bank's; none is held over a wait.
+pub struct App {
+    pub env: NodeEnv,
+    pub began: Instant,
+    pub live: Mutex<Option<Arc<Live>>>,
+    life: Mutex<InitializedStateMachine<Life>>,
+    life_out: Mutex<Option<watch::Sender<LifeState>>>,
+    pub sched: Mutex<Scheduler>,
+    pub tickets: Mutex<HashMap<u64, oneshot::Sender<Grant>>>,
+    pub pool: Pool,
+    pub bank: TurnBank,
+}
+
+/// A poisoned lock means a broken invariant: its holder has panicked, which ends the process.
+pub fn locked<T>(m: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|p| p.into_inner())
+}
+
+impl App {
+    pub fn new(env: NodeEnv) -> Arc<Self> {
+        let tuning = SchedulerTuning { area: env.area.clone(), ..SchedulerTuning::default() };
+        Arc::new(App {
+            began: Instant::now(),
+            live: Mutex::new(None),
+            life: Mutex::new(Life.uninitialized_state_machine().init()),
+            life_out: Mutex::new(None),
+            sched: Mutex::new(Scheduler::new(tuning)),
+            tickets: Mutex::new(HashMap::new()),
+            pool: Pool::new(),
+            bank: TurnBank::new(env.area.clone()),
+            env,
+        })
+    }
+
+    pub fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    pub fn live(&self) -> Option<Arc<Live>> {
+        locked(&self.live).clone()
+    }
+
+    pub fn life(&self) -> LifeState {
+        locked(&self.life).state().clone()
+    }
+
+    pub fn tell_life(&self, out: watch::Sender<LifeState>) {
+        *locked(&self.life_out) = Some(out);
+    }
+
+    pub fn live_on(&self, ev: LifeEvent) {
+        let state = {
+            let mut m = locked(&self.life);
+            m.handle(&ev);
+            m.state().clone()
+        };
+        if let Some(out) = &*locked(&self.life_out) {
+            out.send_if_modified(|s| {
+                let other = *s != state;
+                *s = state.clone();
+                other
+            });
+        }
+    }
+
+    /// Ends a grant and hands what becomes free to those that wait.
+    pub fn end_grant(&self, g: &Grant, was_read: bool) {
+        let next = locked(&self.sched).end(g, was_read, self.now());
+        self.hand_out(next);
+    }
+
+    pub fn pump(&self) {
+        let next = locked(&self.sched).pump(self.now());
+        self.hand_out(next);
+    }
+
+    fn hand_out(&self, mut next: Vec<(u64, Grant)>) {
+        while let Some((ticket, g)) = next.pop() {
+            let tx = locked(&self.tickets).remove(&ticket);
+            let back = match tx {
+                Some(tx) => tx.send(g).err(),
+                None => Some(g),
+            };
+            if let Some(g) = back {
+                next.extend(locked(&self.sched).end(&g, false, self.now()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/request-proxy/src/door/mod.rs
@@ -0,0 +1,8 @@
+//! The door: connections, typed heads, and the proxy's own answers.
+mod answers;
+mod head;
+mod serve;
+
+pub use answers::{OwnAnswer, ProxyBody};
+pub use head::{Head, HeadFault};
+pub use serve::{serve_front, serve_readiness};
--- /dev/null
+++ b/crates/request-proxy/src/flow/mod.rs
@@ -0,0 +1,105 @@
+//! The way of a request: door, way, opening of its turn, placement, send, relay, closing of its turn.
+//! The stage between opening and sending is the scheduler's bounded waitlist.
+mod place;
+mod plain;
+mod turn;
+
+use crate::prelude::*;
+
+/// What the stages of one request share. Invariant: `until` is never later than what the client and
+/// the operator allow.
+pub struct Job<'a> {
+    pub app: &'a Arc<App>,
+    pub live: &'a Live,
+    pub way: &'a WayEnv,
+    pub service: Arc<str>,
+    pub parts: &'a RequestParts,
+    pub head: &'a Head<'a>,
+    pub began: Instant,
+    pub until: Instant,
+}
+
+impl Job<'_> {
+    pub fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// Time left until the aim.
+    pub fn slack(&self) -> Duration {
+        let aim = self.began + self.way.aim;
+        aim.saturating_duration_since(Instant::now())
+    }
+
+    /// 0 to 9: by the way's priority, more urgent when the program runs short of time.
+    pub fn urgency(&self) -> u8 {
+        let short = self.head.finish.is_some_and(|f| {
+            f.saturating_sub(self.began.elapsed()) < Duration::from_millis(1500)
+        });
+        let base = self.way.priority.saturating_mul(2).min(8);
+        if short {
+            base
+        } else {
+            (base + 1).min(9)
+        }
+    }
+}
+
+/// Kept of the client's time for the way back.
+const WAY_BACK: Duration = Duration::from_millis(15);
+
+pub async fn serve(app: &Arc<App>, req: Request<Incoming>) -> Response<ProxyBody> {
+    let began = Instant::now();
+    let (parts, body) = req.into_parts();
+    let id = parts.headers.get(names::REQUEST_ID).and_then(|v| v.to_str().ok());
+    if !app.life().takes() {
+        return OwnAnswer::shed(300, "not ready yet").into_response(id);
+    }
+    let head = match Head::read(&parts) {
+        Ok(h) => h,
+        Err(e) => return OwnAnswer::Unreadable(e.to_string()).into_response(id),
+    };
+    let Some(live) = app.live() else {
+        return OwnAnswer::shed(300, "not ready yet").into_response(id);
+    };
+    let Some(way) = live.ways.find(head.host, parts.uri.path()).cloned() else {
+        return OwnAnswer::NoWay.into_response(id);
+    };
+    let time = head.budget.map_or(way.timeout, |b| b.saturating_sub(WAY_BACK).min(way.timeout));
+    let until = began + time;
+    let body = match read_body(body, live.body_bytes, until).await {
+        Ok(b) => b,
+        Err(a) => return a.into_response(id),
+    };
+    let service: Arc<str> = way.elect_service(fastrand::f64()).into();
+    let job = Job {
+        app,
+        live: &live,
+        way: &way,
+        service,
+        parts: &parts,
+        head: &head,
+        began,
+        until,
+    };
+    let res = match way.kind {
+        WayKind::Streaming => turn::run(&job, body).await,
+        _ => plain::run(&job, body).await,
+    };
+    match res {
+        Ok(r) => r,
+        Err(a) => a.into_response(id),
+    }
+}
+
+async fn read_body(body: Incoming, most: usize, until: Instant) -> Result<Bytes, OwnAnswer> {
+    if hyper::body::Body::is_end_stream(&body) {
+        return Ok(Bytes::new());
+    }
+    let read = Limited::new(body, most).collect();
+    match tokio::time::timeout_at(until.into(), read).await {
+        Ok(Ok(b)) => Ok(b.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(OwnAnswer::TooLarge),
+        Ok(Err(_)) => Err(OwnAnswer::Unreadable("the body broke off".into())),
+        Err(_) => Err(OwnAnswer::shed(100, "the body didn't come in time")),
+    }
+}
--- /dev/null
+++ b/crates/request-proxy/src/lib.rs
@@ -0,0 +1,41 @@
+//! The request proxy: the way of a request from a client to an engine and back.
+pub mod app;
+pub mod door;
+pub mod flow;
+pub mod life;
+pub mod prelude;
+pub mod relay;
+pub mod sending;
+pub mod turns;
+
+use crate::prelude::*;
+
+pub async fn run_proxy(env: NodeEnv) -> NodeResult<()> {
+    let need = |a: Option<SocketAddr>, field: &str| {
+        a.ok_or_else(|| NodeError::BadEnv {
+            file: "settings".into(),
+            field: field.into(),
+            reason: "is missing; a proxy needs it".into(),
+        })
+    };
+    let front = need(env.listen.front, "listenAddresses.front")?;
+    let readiness = need(env.listen.readiness, "listenAddresses.readiness")?;
+    let bind = |a: SocketAddr| async move {
+        TcpListener::bind(a).await.map_err(|e| NodeError::Io { what: a.to_string(), source: e })
+    };
+    let front = bind(front).await?;
+    let readiness = bind(readiness).await?;
+    let grace = env.bounds.grace;
+    let app = App::new(env);
+    app::follow_agent(&app);
+    app::sweep_regularly(&app);
+    let (stop, stopped) = watch::channel(LifeState::first());
+    app.tell_life(stop);
+    tokio::spawn(door::serve_readiness(readiness, app.clone()));
+    let serving = tokio::spawn(door::serve_front(front, app.clone(), stopped));
+    let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
+        .map_err(|e| NodeError::Io { what: "SIGTERM".into(), source: e })?;
+    term.recv().await;
+    life::end_in_order(&app, serving, grace).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/request-proxy/src/life/machine.rs
@@ -0,0 +1,120 @@
+//! States of a proxy's life.
+use crate::prelude::*;
+use statig::prelude::Response;
+use statig::Response::{Handled, Transition};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LifeEvent {
+    /// A snapshot confirmed by a majority is here, with a configuration in it.
+    Current,
+    Term,
+    /// The entry no longer sends new connections.
+    Unlisted,
+    Done,
+}
+
+#[derive(Default)]
+pub struct Life;
+
+#[state_machine(initial = "State::starting()", state(derive(Debug, Clone, PartialEq, Eq)))]
+impl Life {
+    /// Serves nothing: what it knows may be old.
+    #[state]
+    pub fn starting(event: &LifeEvent) -> Response<State> {
+        match event {
+            LifeEvent::Current => Transition(State::serving()),
+            LifeEvent::Term | LifeEvent::Done => Transition(State::closing()),
+            LifeEvent::Unlisted => Handled,
+        }
+    }
+
+    #[state]
+    pub fn serving(event: &LifeEvent) -> Response<State> {
+        match event {
+            LifeEvent::Term => Transition(State::unlisting()),
+            _ => Handled,
+        }
+    }
+
+    /// Unready, still taking what the entry sends; each answer closes its connection.
+    #[state]
+    pub fn unlisting(event: &LifeEvent) -> Response<State> {
+        match event {
+            LifeEvent::Unlisted => Transition(State::closing()),
+            LifeEvent::Done => Transition(State::ended()),
+            _ => Handled,
+        }
+    }
+
+    /// Takes nothing new; finishes what is under way.
+    #[state]
+    pub fn closing(event: &LifeEvent) -> Response<State> {
+        match event {
+            LifeEvent::Done => Transition(State::ended()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    pub fn ended() -> Response<State> {
+        Handled
+    }
+}
+
+pub use State as LifeState;
+
+impl LifeState {
+    pub fn first() -> Self {
+        State::Starting {}
+    }
+
+    pub fn ready(&self) -> bool {
+        matches!(self, State::Serving {})
+    }
+
+    /// Requests may be taken.
+    pub fn takes(&self) -> bool {
+        matches!(self, State::Serving {} | State::Unlisting {} | State::Closing {})
+    }
+
+    pub fn leaving(&self) -> bool {
+        !matches!(self, State::Starting {} | State::Serving {})
+    }
+
+    pub fn listens(&self) -> bool {
+        !matches!(self, State::Closing {} | State::Ended {})
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_life_runs_in_order_whatever_comes_twice() {
+        let mut m = Life.uninitialized_state_machine().init();
+        let mut seen = Vec::new();
+        for ev in [
+            LifeEvent::Unlisted,
+            LifeEvent::Current,
+            LifeEvent::Current,
+            LifeEvent::Term,
+            LifeEvent::Term,
+            LifeEvent::Current,
+            LifeEvent::Unlisted,
+            LifeEvent::Term,
+            LifeEvent::Done,
+            LifeEvent::Current,
+        ] {
+            m.handle(&ev);
+            let s = m.state();
+            seen.push((s.ready(), s.takes(), s.listens()));
+        }
+        let no = (false, false, true);
+        let on = (true, true, true);
+        let un = (false, true, true);
+        let cl = (false, true, false);
+        let end = (false, false, false);
+        assert_eq!(seen, [no, on, on, un, un, un, cl, cl, end, end]);
+    }
+}
--- /dev/null
+++ b/crates/request-proxy/src/prelude.rs
@@ -0,0 +1,24 @@
+//! The one module every file of this package imports.
+pub use crate::app::{App, Live};
+pub use crate::door::{Head, HeadFault, OwnAnswer, ProxyBody};
+pub use crate::life::{Life, LifeEvent, LifeState};
+pub use crate::relay::{EventFault, EventReader, RelayBody};
+pub use crate::sending::{Lease, Pool, SendOutcome};
+pub use crate::turns::{OpenAsk, OpenFault, OpenLedger, Opened, TurnBank, TurnClose};
+pub use feed_follow::prelude::{follow_cells, FeedItem, FeedView, FollowEnv, News};
+pub use http::request::Parts as RequestParts;
+pub use http::{HeaderMap, HeaderValue};
+pub use inner_protocol::prelude::*;
+pub use inner_protocol::stores::*;
+pub use operator_config::prelude::{
+    check_config, ConfigEnv, ServiceEnv, WayEnv, WayKind, WayTable,
+};
+pub use outer_calls::prelude::*;
+pub use session_index::prelude::{
+    chain_blocks, Ask, Block, EngineKey, Grant, Part, Placed, Reason, Scheduler, SchedulerTuning,
+};
+pub use spdlog::{debug, info, warn};
+pub use statig::prelude::{state_machine, InitializedStateMachine, IntoStateMachineExt};
+pub use std::future::Future;
+pub use std::pin::Pin;
+pub use std::task::{Context, Poll};
--- /dev/null
+++ b/crates/request-proxy/src/relay/body.rs
@@ -0,0 +1,191 @@
+//! A relayed stream: events pass at once; the stream's end waits until its turn is kept.
+use super::events::EventReader;
+use crate::app::locked;
+use crate::prelude::*;
+use hyper::body::Body;
+
+/// What is known of the turn behind a stream.
+pub struct StreamEnd {
+    pub app: Arc<App>,
+    pub grant: Grant,
+    pub session: Option<Arc<str>>,
+    pub blocks: Vec<Block>,
+    pub retention: Duration,
+    pub stride: u32,
+    pub sent_at: Instant,
+    pub until: Instant,
+    pub alone: bool,
+    pub request_id: String,
+    /// The turn to keep, where the way retains turns.
+    pub turn: Option<TurnClose>,
+    pub keep_alive: Option<Duration>,
+}
+
+type Closing = Pin<Box<dyn Future<Output = bool> + Send>>;
+
+enum Stage {
+    Relaying,
+    Closing(Closing),
+    Over,
+}
+
+/// Invariants: the grant is ended once, by `finish` or by the drop; after `Over` nothing more comes.
+pub struct RelayBody {
+    inner: Option<Incoming>,
+    lease: Option<Lease>,
+    reader: EventReader,
+    end: StreamEnd,
+    timer: Pin<Box<tokio::time::Sleep>>,
+    stage: Stage,
+    was_read: bool,
+    granted: bool,
+}
+
+/// After the last event, how long keeping the turn may take beyond the stream's time.
+const CLOSE_MORE: Duration = Duration::from_millis(600);
+
+impl RelayBody {
+    pub fn new(inner: Incoming, lease: Lease, end: StreamEnd) -> Self {
+        let timer = Box::pin(tokio::time::sleep_until(end.until.into()));
+        RelayBody {
+            inner: Some(inner),
+            lease: Some(lease),
+            reader: EventReader::default(),
+            end,
+            timer,
+            stage: Stage::Relaying,
+            was_read: false,
+            granted: true,
+        }
+    }
+
+    pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, ()>>> {
+        loop {
+            match &mut self.stage {
+                Stage::Over => return Poll::Ready(None),
+                Stage::Closing(f) => match f.as_mut().poll(cx) {
+                    Poll::Pending => return Poll::Pending,
+                    Poll::Ready(kept) => {
+                        self.stage = Stage::Over;
+                        if kept {
+                            return Poll::Ready(None);
+                        }
+                        warn!("turn not kept: {}", self.end.request_id);
+                        return Poll::Ready(Some(Err(())));
+                    }
+                },
+                Stage::Relaying => {}
+            }
+            let Some(inner) = &mut self.inner else {
+                return Poll::Ready(None);
+            };
+            match Pin::new(inner).poll_frame(cx) {
+                Poll::Ready(Some(Ok(f))) => {
+                    let Ok(b) = f.into_data() else { continue };
+                    match self.reader.take(&b) {
+                        Ok(Some(out)) => {
+                            self.first_event();
+                            return Poll::Ready(Some(Ok(out)));
+                        }
+                        Ok(None) => {}
+                        Err(e) => {
+                            debug!("{:?} in stream {}", e, self.end.request_id);
+                            return self.broke_off();
+                        }
+                    }
+                }
+                Poll::Ready(Some(Err(_))) => return self.broke_off(),
+                Poll::Ready(None) => {
+                    if !self.reader.whole() || self.reader.events == 0 {
+                        return self.broke_off();
+                    }
+                    self.finish();
+                }
+                Poll::Pending => {
+                    if self.timer.as_mut().poll(cx).is_ready() {
+                        return self.broke_off();
+                    }
+                    return Poll::Pending;
+                }
+            }
+        }
+    }
+
+    fn first_event(&mut self) {
+        if self.was_read {
+            return;
+        }
+        self.was_read = true;
+        let app = &self.end.app;
+        let now = app.now();
+        let took = self.end.sent_at.elapsed();
+        let mut sched = locked(&app.sched);
+        let believed = sched.read(&self.end.grant, took, now, self.end.alone);
+        if !believed {
+            let key = self.end.grant.key;
+            let s = self.end.session.as_deref().unwrap_or("");
+            sched.index.disproved(key, &self.end.blocks, s, now);
+            drop(sched);
+            debug!("engine {} read anew what it was believed to hold", self.end.grant.id);
+        }
+    }
+
+    fn broke_off(&mut self) -> Poll<Option<Result<Bytes, ()>>> {
+        self.drop_all();
+        self.stage = Stage::Over;
+        Poll::Ready(Some(Err(())))
+    }
+
+    /// The engine's stream has ended whole.
+    fn finish(&mut self) {
+        let app = self.end.app.clone();
+        if let Some(l) = self.lease.take() {
+            app.pool.give_back(l, self.end.keep_alive);
+        }
+        self.inner = None;
+        if let Some(s) = &self.end.session {
+            let mut sched = locked(&app.sched);
+            let memory = sched.memory_of(&self.end.grant);
+            let now = app.now();
+            let key = self.end.grant.key;
+            sched.index.answered(s, key, &self.end.blocks, self.end.retention, now);
+            sched.index.fit(key, memory);
+        }
+        if std::mem::replace(&mut self.granted, false) {
+            app.end_grant(&self.end.grant, self.was_read);
+        }
+        self.stage = match self.end.turn.take() {
+            None => Stage::Over,
+            Some(mut t) => {
+                t.tokens = self.reader.events * self.end.stride;
+                t.record.output = ByteBuf::from(std::mem::take(&mut self.reader.output));
+                let until = self.end.until + CLOSE_MORE;
+                Stage::Closing(Box::pin(async move { app.bank.close(t, until).await }))
+            }
+        };
+    }
+
+    /// The stream came to nothing: its grant ends, and what was put out is settled.
+    fn drop_all(&mut self) {
+        self.inner = None;
+        self.lease = None;
+        if std::mem::replace(&mut self.granted, false) {
+            self.end.app.end_grant(&self.end.grant, self.was_read);
+            if let Some(s) = &self.end.session {
+                locked(&self.end.app.sched).index.dropped(s);
+            }
+        }
+        if let Some(t) = self.end.turn.take() {
+            if t.reserved {
+                let tokens = self.reader.events * self.end.stride;
+                self.end.app.bank.settle(&t.record.program, t.req, tokens);
+            }
+        }
+    }
+}
+
+impl Drop for RelayBody {
+    fn drop(&mut self) {
+        self.drop_all();
+    }
+}
--- /dev/null
+++ b/crates/request-proxy/src/relay/events.rs
@@ -0,0 +1,141 @@
+//! Reads a series of events: whole ones pass, their data is kept for the turn's record.
+use crate::prelude::*;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EventFault {
+    /// An id that doesn't rise.
+    Order,
+    /// Bytes that are no event.
+    NoEvent,
+    TooLong,
+}
+
+/// Invariants: `output` holds the data of every event passed so far, each with a line feed; ids rise.
+pub struct EventReader {
+    rest: BytesMut,
+    last_id: Option<u64>,
+    pub events: u32,
+    pub output: Vec<u8>,
+}
+
+const MOST_EVENT: usize = 1 << 20;
+
+impl Default for EventReader {
+    fn default() -> Self {
+        EventReader { rest: BytesMut::new(), last_id: None, events: 0, output: Vec::new() }
+    }
+}
+
+impl EventReader {
+    /// Takes bytes as they came; gives back the whole events among them, unchanged.
+    pub fn take(&mut self, b: &[u8]) -> Result<Option<Bytes>, EventFault> {
+        self.rest.extend_from_slice(b);
+        let mut end = 0;
+        while let Some(n) = event_end(&self.rest[end..]) {
+            let one = self.rest[end..end + n].to_vec();
+            self.event(&one)?;
+            end += n;
+        }
+        if self.rest.len() - end > MOST_EVENT {
+            return Err(EventFault::TooLong);
+        }
+        if end == 0 {
+            return Ok(None);
+        }
+        Ok(Some(self.rest.split_to(end).freeze()))
+    }
+
+    /// True when nothing is left of an event cut short.
+    pub fn whole(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn event(&mut self, one: &[u8]) -> Result<(), EventFault> {
+        let mut data: Option<Vec<u8>> = None;
+        for line in one.split(|b| *b == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if line.is_empty() || line[0] == b':' {
+                continue;
+            }
+            let (name, value) = match line.iter().position(|b| *b == b':') {
+                Some(i) => (&line[..i], line[i + 1..].strip_prefix(b" ").unwrap_or(&line[i + 1..])),
+                None => (line, &b""[..]),
+            };
+            match name {
+                b"data" => match &mut data {
+                    Some(d) => {
+                        d.push(b'\n');
+                        d.extend_from_slice(value);
+                    }
+                    None => data = Some(value.to_vec()),
+                },
+                b"id" => {
+                    let id = std::str::from_utf8(value).ok().and_then(|s| s.trim().parse().ok());
+                    let id: u64 = id.ok_or(EventFault::NoEvent)?;
+                    if self.last_id.is_some_and(|l| id <= l) {
+                        return Err(EventFault::Order);
+                    }
+                    self.last_id = Some(id);
+                }
+                n if n.iter().all(|b| b.is_ascii_alphanumeric() || *b == b'-' || *b == b'_') => {}
+                _ => return Err(EventFault::NoEvent),
+            }
+        }
+        if let Some(d) = data {
+            self.events += 1;
+            self.output.extend_from_slice(&d);
+            self.output.push(b'\n');
+        }
+        Ok(())
+    }
+}
+
+/// The length of the first event with the blank line that ends it.
+fn event_end(b: &[u8]) -> Option<usize> {
+    let mut i = 0;
+    while i < b.len() {
+        if b[i] == b'\n' {
+            match b.get(i + 1) {
+                Some(b'\n') => return Some(i + 2),
+                Some(b'\r') if b.get(i + 2) == Some(&b'\n') => return Some(i + 3),
+                _ => {}
+            }
+        }
+        i += 1;
+    }
+    None
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn however_the_bytes_are_cut_whole_events_pass_unchanged() {
+        let all = b"id: 1\ndata: abc\n\n: note\nid: 2\ndata: x\ndata: y\n\nx-spokebank-weight-versions: 3\nid: 5\ndata: z\n\n";
+        for cut in 1..all.len() {
+            let mut r = EventReader::default();
+            let mut out = Vec::new();
+            for c in all.chunks(cut) {
+                if let Some(b) = r.take(c).unwrap() {
+                    out.extend_from_slice(&b);
+                }
+            }
+            assert_eq!(out, all);
+            assert!(r.whole());
+            assert_eq!((r.events, r.output.as_slice()), (3, &b"abc\nx\ny\nz\n"[..]));
+        }
+    }
+
+    #[test]
+    fn a_piece_twice_or_cut_short_or_no_event_is_told() {
+        let mut r = EventReader::default();
+        assert!(r.take(b"id: 2\ndata: a\n\n").unwrap().is_some());
+        assert_eq!(r.take(b"id: 2\ndata: a\n\n"), Err(EventFault::Order));
+        let mut r = EventReader::default();
+        assert_eq!(r.take(b"id: 1\ndata: a").unwrap(), None);
+        assert!(!r.whole());
+        let mut r = EventReader::default();
+        assert_eq!(r.take(b"<<junk>>: 1\n\n"), Err(EventFault::NoEvent));
+    }
+}
--- /dev/null
+++ b/crates/request-proxy/src/sending/mod.rs
@@ -0,0 +1,10 @@
+//! Sending to an engine, over connections of the proxy's own.
+mod heads;
+mod judge;
+mod pool;
+mod send;
+
+pub use heads::{engine_request, passed_on};
+pub use judge::{judge, Verdict};
+pub use pool::{Lease, Pool};
+pub use send::{keep_alive, send_once, SendOutcome};
--- /dev/null
+++ b/crates/session-index/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The one module every file of this package imports.
+pub use crate::blocks::{chain_blocks, Block, Part};
+pub use crate::engines::{EngineKey, EngineRow, EngineTable, Pace};
+pub use crate::index::{BlockRecord, CacheIndex, IndexTuning, Tier};
+pub use crate::scheduler::{Ask, Grant, Placed, Reason, Scheduler, SchedulerTuning};
+pub use inner_protocol::feed::{AreaTable, EngineEntry};
+pub use inner_protocol::prelude::*;
+pub use slab::Slab;
--- /dev/null
+++ b/crates/session-index/src/scheduler/elect.rs
@@ -0,0 +1,103 @@
+//! Which engine: cost in ms of waiting, the index first.
+use crate::prelude::*;
+
+/// Each request that runs beside slows a turn a little.
+const BESIDE_MS: f64 = 2.0;
+/// A request that waits there delays more.
+const BEHIND_MS: f64 = 25.0;
+const AVOID_MS: f64 = 4000.0;
+/// A line leaves the engine that holds it only for a gain well above what reading anew may hide.
+const STAY_MS: f64 = 40.0;
+
+impl Scheduler {
+    /// The engine that costs the request least, if any may take it now.
+    pub(super) fn elect(&self, ask: &Ask, now: Duration) -> Option<Grant> {
+        let hits = match ask.is_turn {
+            true => self.index.look_up(&ask.blocks, now),
+            false => Vec::new(),
+        };
+        let holder = ask
+            .session
+            .as_ref()
+            .and_then(|s| self.index.holder_of(s))
+            .or(ask.told_holder);
+        let held = |k: EngineKey| hits.iter().find(|(x, _)| *x == k).map_or(0, |(_, n)| *n);
+        let mut best: Option<(f64, &EngineRow, u32)> = None;
+        for e in self.engines.of_service(&ask.service) {
+            if e.draining || ask.tried.contains(&e.key) || !self.has_room(e, ask, now) {
+                continue;
+            }
+            // Nothing known of the line here, but its records name this engine: all but the newest
+            // input is likely there.
+            let mut hit = held(e.key);
+            if ask.told_holder == Some(e.key) && ask.is_turn {
+                let before = ask.blocks.len().checked_sub(2).map_or(0, |i| ask.blocks[i].end);
+                hit = hit.max(before);
+            }
+            let cost = self.cost(e, ask, hit, now) - if holder == Some(e.key) && hit > 0 { STAY_MS } else { 0.0 };
+            let better = match &best {
+                None => true,
+                Some((c, _, _)) => cost < *c - 1e-9,
+            };
+            if better {
+                best = Some((cost, e, hit));
+            }
+        }
+        let (_, e, hit) = best?;
+        let fresh = ask.prompt_tokens.saturating_sub(hit);
+        let most_held = hits.iter().map(|(_, n)| *n).max().unwrap_or(0);
+        let reason = match () {
+            _ if !ask.is_turn => Reason::Plain,
+            _ if holder == Some(e.key) && hit > 0 => Reason::Hit,
+            _ if holder.is_some_and(|h| held(h) > hit) => Reason::Moved,
+            _ if hit > 0 && hit >= most_held => Reason::SharedHit,
+            _ if hit > 0 => Reason::SharedHit,
+            _ => Reason::Miss,
+        };
+        Some(Grant {
+            key: e.key,
+            id: e.id.clone(),
+            addr: e.addr,
+            hit,
+            fresh: if ask.is_turn { fresh } else { 0 },
+            memory: if ask.is_turn { u64::from(ask.prompt_tokens + ask.most_out) } else { 0 },
+            memory_limit: ask.memory_limit,
+            reason,
+            expected_ms: e.pace.base_ms + f64::from(fresh) * e.pace.read_ms,
+        })
+    }
+
+    fn has_room(&self, e: &EngineRow, ask: &Ask, now: Duration) -> bool {
+        let busy = e.busy(now);
+        if !ask.is_turn {
+            return busy < f64::from(e.slots) * self.tuning.plain_depth;
+        }
+        let need = u64::from(ask.prompt_tokens + ask.most_out);
+        busy < f64::from(e.slots)
+            && (e.own == 0 || ask.memory_limit == 0 || e.memory + need <= ask.memory_limit)
+    }
+
+    fn cost(&self, e: &EngineRow, ask: &Ask, hit: u32, now: Duration) -> f64 {
+        let mut c = 0.0;
+        if *e.area != *self.tuning.area {
+            c += self.tuning.far_ms;
+        }
+        if e.avoid > now {
+            c += AVOID_MS;
+        }
+        let busy = e.busy(now);
+        if ask.is_turn {
+            let fresh = f64::from(ask.prompt_tokens.saturating_sub(hit));
+            c += (fresh + e.reading as f64) * e.pace.read_ms + (e.pace.base_ms - 80.0);
+            c += busy * BESIDE_MS + e.waiting.min(busy) * BEHIND_MS;
+        } else {
+            let slots = f64::from(e.slots.max(1));
+            let over = (busy + 1.0 - slots).max(0.0);
+            // A full engine makes a request wait for a turn of its slots; one nearly full may be
+            // slower than it looks, since not every sender is seen.
+            c += e.pace.work_ms * (0.25 + over / slots + 0.5 * (busy / slots).powi(2));
+        }
+        // Equal engines are not elected by all proxies at once.
+        c * (1.0 + 0.06 * fastrand::f64()) + fastrand::f64()
+    }
+}
--- /dev/null
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -0,0 +1,255 @@
+//! The scheduler: for every turn it asks the index, for every call it weighs the engines; what can't
+//! run now waits by priority and slack, and what can't be met is shed at once.
+mod elect;
+mod waitlist;
+#[cfg(test)]
+mod tests;
+
+use crate::prelude::*;
+use waitlist::Waitlist;
+
+/// What a request wants.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    pub service: Arc<str>,
+    /// Set on turns: blocks of the prompt and its line.
+    pub blocks: Vec<Block>,
+    pub session: Option<Arc<str>>,
+    /// An engine that held the line as its records tell, when this proxy knows nothing of the line.
+    pub told_holder: Option<EngineKey>,
+    pub prompt_tokens: u32,
+    pub most_out: u32,
+    pub memory_limit: u64,
+    pub is_turn: bool,
+    pub priority: u8,
+    /// Time left until its aim and until it is of no use.
+    pub slack: Duration,
+    pub budget: Duration,
+    /// Engines that already turned it away.
+    pub tried: Vec<EngineKey>,
+}
+
+/// Why a turn was placed where it was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// The engine holds the line's parts.
+    Hit,
+    /// The engine holds a beginning that other lines share.
+    SharedHit,
+    /// Read anew where it is cheapest.
+    Miss,
+    /// It holds the line's parts, but reading anew elsewhere is cheaper by far.
+    Moved,
+    /// A call without a prompt.
+    Plain,
+}
+
+#[derive(Debug, Clone)]
+pub struct Grant {
+    pub key: EngineKey,
+    pub id: Arc<str>,
+    pub addr: SocketAddr,
+    pub hit: u32,
+    pub fresh: u32,
+    pub memory: u64,
+    /// What the engine can hold.
+    pub memory_limit: u64,
+    pub reason: Reason,
+    /// The wait for the first event that is expected, when nobody else is there.
+    pub expected_ms: f64,
+}
+
+#[derive(Debug)]
+pub enum Placed {
+    Go(Grant),
+    /// Wait for the grant under this ticket.
+    Wait(u64),
+    /// It can't be met: come back after.
+    Shed(Duration),
+}
+
+#[derive(Debug, Clone)]
+pub struct SchedulerTuning {
+    pub area: String,
+    /// What a send to another area costs, in ms of waiting.
+    pub far_ms: f64,
+    pub most_waiting: usize,
+    /// Sends an engine may have per slot before requests wait here.
+    pub plain_depth: f64,
+}
+
+impl Default for SchedulerTuning {
+    fn default() -> Self {
+        SchedulerTuning { area: String::new(), far_ms: 12.0, most_waiting: 2000, plain_depth: 2.0 }
+    }
+}
+
+/// Invariants: every grant is ended exactly once; tickets in the waitlist are unknown elsewhere.
+pub struct Scheduler {
+    pub engines: EngineTable,
+    pub index: CacheIndex,
+    pub tuning: SchedulerTuning,
+    waitlist: Waitlist,
+    next_ticket: u64,
+}
+
+impl Scheduler {
+    pub fn new(tuning: SchedulerTuning) -> Self {
+        Scheduler {
+            engines: EngineTable::default(),
+            index: CacheIndex::new(IndexTuning::default()),
+            tuning,
+            waitlist: Waitlist::default(),
+            next_ticket: 0,
+        }
+    }
+
+    pub fn learn(&mut self, t: &AreaTable) {
+        for k in self.engines.learn(t) {
+            self.index.forget_engine(k);
+        }
+    }
+
+    pub fn place(&mut self, ask: Ask, now: Duration) -> Placed {
+        if self.engines.of_service(&ask.service).next().is_none() {
+            return Placed::Shed(Duration::from_millis(300));
+        }
+        let ahead = self.waitlist.is_waiting(&ask.service, ask.priority);
+        if !ahead {
+            if let Some(g) = self.elect(&ask, now) {
+                return Placed::Go(self.begin(&ask, g));
+            }
+        }
+        let wait = self.expected_wait(&ask, now);
+        if self.waitlist.len() >= self.tuning.most_waiting || wait > ask.budget / 2 {
+            return Placed::Shed(wait.clamp(Duration::from_millis(50), Duration::from_secs(2)));
+        }
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.waitlist.add(ticket, ask, now);
+        Placed::Wait(ticket)
+    }
+
+    fn begin(&mut self, ask: &Ask, g: Grant) -> Grant {
+        if let Some(e) = self.engines.get_mut(g.key) {
+            e.own += 1;
+            e.reading += u64::from(g.fresh);
+            e.memory += g.memory;
+        }
+        if let Some(s) = &ask.session {
+            self.index.sent(s);
+        }
+        g
+    }
+
+    /// The prompt was read: the first event came.
+    pub fn read(&mut self, g: &Grant, took: Duration, now: Duration, alone: bool) -> bool {
+        let Some(e) = self.engines.get_mut(g.key) else {
+            return true;
+        };
+        e.reading = e.reading.saturating_sub(u64::from(g.fresh));
+        e.failures = 0;
+        let ms = took.as_secs_f64() * 1e3;
+        // Far beyond what the held parts explain, on an engine that wasn't busy: it read them anew.
+        let anew = f64::from(g.hit) * e.pace.read_ms;
+        let believed = !(alone
+            && e.pace.seen > 8
+            && g.hit > 1500
+            && ms > g.expected_ms + 0.75 * anew
+            && ms > 1.6 * g.expected_ms
+            && e.busy(now) < 4.0);
+        if believed {
+            e.pace.first_event(took, g.fresh);
+        }
+        believed
+    }
+
+    /// A grant ends. `fresh_left` tells that its prompt was never read.
+    pub fn end(&mut self, g: &Grant, was_read: bool, now: Duration) -> Vec<(u64, Grant)> {
+        if let Some(e) = self.engines.get_mut(g.key) {
+            e.own = e.own.saturating_sub(1);
+            e.memory = e.memory.saturating_sub(g.memory);
+            if !was_read {
+                e.reading = e.reading.saturating_sub(u64::from(g.fresh));
+            }
+        }
+        self.pump(now)
+    }
+
+    /// Grants to those that wait, most pressing first.
+    pub fn pump(&mut self, now: Duration) -> Vec<(u64, Grant)> {
+        let mut out = Vec::new();
+        let mut stuck: HashSet<Arc<str>> = HashSet::new();
+        while let Some((ticket, ask)) = self.waitlist.next(&stuck) {
+            match self.elect(&ask, now) {
+                Some(g) => {
+                    let g = self.begin(&ask, g);
+                    self.waitlist.remove(ticket);
+                    out.push((ticket, g));
+                }
+                None => {
+                    stuck.insert(ask.service.clone());
+                }
+            }
+        }
+        out
+    }
+
+    /// What an engine can hold, as its service's configuration tells; 0 when it doesn't.
+    pub fn memory_of(&self, g: &Grant) -> u64 {
+        g.memory_limit
+    }
+
+    pub fn give_up(&mut self, ticket: u64) {
+        self.waitlist.remove(ticket);
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.waitlist.len()
+    }
+
+    /// The engine turned a send away without running it.
+    pub fn turned_away(&mut self, key: EngineKey, now: Duration) {
+        if let Some(e) = self.engines.get_mut(key) {
+            e.avoid = now + Duration::from_millis(120);
+            e.others = e.others.max(f64::from(e.slots));
+            e.reported = now;
+        }
+    }
+
+    /// A send to it failed, or it can't be reached.
+    pub fn failed(&mut self, key: EngineKey, now: Duration) {
+        if let Some(e) = self.engines.get_mut(key) {
+            e.failures = (e.failures + 1).min(6);
+            e.avoid = now + Duration::from_millis(150) * 2u32.pow(e.failures);
+        }
+    }
+
+    /// Another engine answers at this address.
+    pub fn replaced(&mut self, key: EngineKey) {
+        if let Some(e) = self.engines.get_mut(key) {
+            e.draining = true;
+        }
+        self.index.forget_engine(key);
+    }
+
+    fn expected_wait(&self, ask: &Ask, now: Duration) -> Duration {
+        let mut room = 0.0;
+        let mut work = 0.0;
+        for e in self.engines.of_service(&ask.service).filter(|e| !e.draining) {
+            room += f64::from(e.slots);
+            work += e.busy(now) * e.pace.work_ms.max(20.0);
+        }
+        if room <= 0.0 {
+            return Duration::from_millis(300);
+        }
+        let queued = self.waitlist.of_service(&ask.service) as f64;
+        let mean = self
+            .engines
+            .of_service(&ask.service)
+            .map(|e| e.pace.work_ms)
+            .fold(0.0, f64::max)
+            .max(20.0);
+        Duration::from_secs_f64(((work + queued * mean) / room / 1e3).min(30.0))
+    }
+}
--- /dev/null
+++ b/crates/spokebank/src/commands/mod.rs
@@ -0,0 +1,106 @@
+//! The command line.
+use crate::prelude::*;
+use std::future::Future;
+
+/// spokebank: a serving tier for agent programs
+#[derive(FromArgs)]
+pub struct Spokebank {
+    /// how much is logged: off, error, warn, info or debug (warn)
+    #[argh(option, default = "String::from(\"warn\")")]
+    pub log_level: String,
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    Proxy(ProxyArgs),
+    Agent(AgentArgs),
+    Cell(CellArgs),
+    Store(StoreArgs),
+    Check(CheckArgs),
+}
+
+/// carry requests from clients to engines
+#[derive(FromArgs)]
+#[argh(subcommand, name = "request-proxy")]
+pub struct ProxyArgs {}
+
+/// keep the link to the cells and feed the proxy on this machine
+#[derive(FromArgs)]
+#[argh(subcommand, name = "feed-agent")]
+pub struct AgentArgs {}
+
+/// keep engines, nodes and the configuration; serve the operator
+#[derive(FromArgs)]
+#[argh(subcommand, name = "control-cell")]
+pub struct CellArgs {}
+
+/// keep turns and the programs' allowances on disk
+#[derive(FromArgs)]
+#[argh(subcommand, name = "turn-store")]
+pub struct StoreArgs {}
+
+/// check an operator's configuration file; lists every fault with its place
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check-config")]
+pub struct CheckArgs {
+    /// the file to check
+    #[argh(positional)]
+    pub file: String,
+}
+
+/// Where the platform says the settings are.
+const ENV_FILE: &str = "SPOKEBANK_NODE_FILE";
+const ENV_DEFAULT: &str = "/etc/spokebank/settings.toml";
+
+fn node_env() -> NodeResult<NodeEnv> {
+    read_env(&std::env::var(ENV_FILE).unwrap_or_else(|_| ENV_DEFAULT.into()))
+}
+
+pub fn run(args: &Spokebank) -> NodeResult<i32> {
+    match &args.command {
+        Command::Proxy(_) => serve(request_proxy::run_proxy(node_env()?)),
+        Command::Agent(_) => serve(feed_agent::run_agent(node_env()?)),
+        Command::Cell(_) => serve(control_cell::run_cell(node_env()?)),
+        Command::Store(_) => serve(turn_store::run_store(node_env()?)),
+        Command::Check(c) => check(&c.file),
+    }
+}
+
+fn serve(f: impl Future<Output = NodeResult<()>>) -> NodeResult<i32> {
+    let rt = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| NodeError::Io { what: "runtime".into(), source: e })?;
+    rt.block_on(f)?;
+    Ok(0)
+}
+
+fn check(file: &str) -> NodeResult<i32> {
+    let body = match std::fs::read(file) {
+        Ok(b) => b,
+        Err(e) => {
+            eprintln!("{file}: {e}");
+            return Ok(2);
+        }
+    };
+    match check_config(&body) {
+        Ok(c) => {
+            println!(
+                "{file}: sound: version {}, {} ways, {} services",
+                c.serial,
+                c.ways.len(),
+                c.services.len()
+            );
+            Ok(0)
+        }
+        Err(faults) => {
+            for f in &faults {
+                println!("{file}: {f}");
+            }
+            Ok(1)
+        }
+    }
+}
