--- a/crates/agreement/src/core/machine.rs
+++ b/crates/agreement/src/core/machine.rs
@@ -22,9 +22,9 @@
 impl Default for Tuning {
     fn default() -> Self {
         Tuning {
-            beat: Duration::from_millis(150),
-            election_low: Duration::from_millis(600),
-            election_high: Duration::from_millis(1000),
+            beat: Duration::from_millis(110),
+            election_low: Duration::from_millis(400),
+            election_high: Duration::from_millis(700),
             most_batch: 6 << 20,
         }
     }
--- a/crates/control-cell/src/owner/agree.rs
+++ b/crates/control-cell/src/owner/agree.rs
@@ -10,6 +10,9 @@
     pub fn agree_on(&mut self, ev: Event) -> bool {
         let now = self.began.elapsed();
         let effects = self.agree.handle(ev, now);
+        if self.agree.leader.is_some() && !self.agree.leads() {
+            self.last_leader = self.agree.leader;
+        }
         self.carry_out(effects)
     }
 
@@ -64,6 +67,10 @@
                 Effect::RoleIs(role) => {
                     info!("role {:?} in term {}", role, self.agree.hard.term);
                     self.lead_since = self.agree.leads().then(Instant::now);
+                    if self.agree.leads() {
+                        self.old_leader = self.last_leader.filter(|l| *l != self.me.id);
+                        self.next_duty = Instant::now();
+                    }
                     if !self.agree.leads() {
                         for (_, (_, r)) in self.placed.drain() {
                             let _ = r.send(CellReply::Unable);
--- a/crates/control-cell/src/owner/feed.rs
+++ b/crates/control-cell/src/owner/feed.rs
@@ -104,12 +104,12 @@
             return;
         }
         let touch = self.agree.last_touch();
-        let fresh = touch.is_some_and(|t| self.began.elapsed() < t + Duration::from_millis(900));
+        let fresh = touch.is_some_and(|t| self.began.elapsed() < t + Duration::from_millis(700));
         if !fresh {
             self.feed.followers.clear();
             return;
         }
-        self.feed.next_beat = now + Duration::from_millis(500);
+        self.feed.next_beat = now + Duration::from_millis(400);
         let n = Numbered { no: self.feed.no, item: FeedItem::Beat };
         self.feed.followers.retain(|f| f.try_send(vec![n.clone()]).is_ok());
     }
--- a/crates/control-cell/src/owner/lead.rs
+++ b/crates/control-cell/src/owner/lead.rs
@@ -7,7 +7,15 @@
 const JOINER_KEPT: Duration = Duration::from_secs(2);
 const LEAVING_KEPT: Duration = Duration::from_secs(6);
 
+/// A holder that hasn't answered for this long gives its areas to another: the platform's list must be
+/// read well within the time in which leaving engines are to be left alone.
+const HOLDER_SILENT: Duration = Duration::from_millis(600);
+
 impl Owner {
+    fn lead_since_elapsed(&self) -> Option<Duration> {
+        Some(self.lead_since?.duration_since(self.began))
+    }
+
     pub fn duties(&mut self, now: Instant) -> bool {
         self.beat_feed(now);
         if now >= self.next_table {
@@ -66,7 +74,17 @@
             if id == self.me.id {
                 return Duration::ZERO;
             }
-            self.agree.heard_from(id).map_or(calm, |t| elapsed.saturating_sub(t))
+            // The leader before was silent already when this one was elected.
+            let before = match self.old_leader {
+                Some(old) if old == id => Duration::from_secs(1),
+                _ => Duration::ZERO,
+            };
+            match self.agree.heard_from(id) {
+                Some(t) if self.lead_since_elapsed().is_some_and(|s| t > s) => {
+                    elapsed.saturating_sub(t)
+                }
+                _ => calm + before,
+            }
         };
         let members = self.agree.log.members().to_vec();
 
@@ -89,12 +107,10 @@
 
         let areas: BTreeSet<String> = self.env.areas.keys().cloned().collect();
         let alive = |id: u64| {
-            !self.leaving.contains_key(&id) && silent(id) < Duration::from_millis(1000)
+            !self.leaving.contains_key(&id) && silent(id) < HOLDER_SILENT
         };
-        if calm > Duration::from_millis(300) || self.ending.is_some() {
-            if let Some(holders) = next_holders(&self.state.holders, &areas, &members, alive) {
-                return self.change(Change::PutHolders { holders });
-            }
+        if let Some(holders) = next_holders(&self.state.holders, &areas, &members, alive) {
+            return self.change(Change::PutHolders { holders });
         }
 
         let seen: Vec<StoreSight> = self
--- a/crates/control-cell/src/owner/work.rs
+++ b/crates/control-cell/src/owner/work.rs
@@ -37,6 +37,9 @@
     pub leaving: HashMap<u64, Instant>,
     pub held: watch::Sender<Held>,
     pub lead_since: Option<Instant>,
+    /// Who led before this cell did.
+    pub old_leader: Option<u64>,
+    pub last_leader: Option<u64>,
     pub next_duty: Instant,
     pub next_table: Instant,
     pub next_join: Instant,
@@ -116,6 +119,8 @@
             leaving: HashMap::new(),
             held,
             lead_since: None,
+            old_leader: None,
+            last_leader: None,
             next_duty: now,
             next_table: now,
             next_join: now + Duration::from_millis(700),
--- a/crates/feed-agent/src/lib.rs
+++ b/crates/feed-agent/src/lib.rs
@@ -17,7 +17,7 @@
         seeds: env.seeds.iter().map(|s| env.inner_addr(&s.ip().to_string(), CELL_PORT)).collect(),
         feed_port: env.internal_ports.0 + FEED_PORT,
         fixed: false,
-        silence: Duration::from_millis(1200),
+        silence: Duration::from_millis(1000),
     };
     tokio::spawn(follow_cells(follow, tx, no_word));
     let (open, opens) = mpsc::channel(16);
