Tables of a restarted holder are told anew; while copies are lost all stores must say no

Cause (DRAIN): a holder's table numbers began anew after a restart under the same epoch, so its tables were taken for old. Cause (LOST): 404 was said when all but one said no although a wiped store's copies had no new place yet.

--- a/crates/control-cell/src/duties/stores.rs
+++ b/crates/control-cell/src/duties/stores.rs
@@ -68,6 +68,9 @@
             continue;
         }
         return next(&|n| {
+            if n.counted().any(|e| Some(e.id) == gone) {
+                n.mending = Some(since);
+            }
             n.stores.retain(|e| Some(e.id) != gone);
             n.stores.push(entry(st, StoreState::Copying, since));
         });
@@ -75,8 +78,11 @@
     // A newcomer counts once it has filled its tables and the others gave lost copies a place.
     for e in set.stores.iter().filter(|e| e.state == StoreState::Copying) {
         let filled = sight(e.id).is_some_and(|s| s.status.copied >= e.since && s.silent < AT_WORK);
-        if filled && repaired(set, seen, e.since, e.id) {
+        if let (true, Some(missing)) = (filled, repaired(set, seen, e.since, e.id)) {
             return next(&|n| {
+                if missing == 0 && n.mending.is_some_and(|m| m <= e.since) {
+                    n.mending = None;
+                }
                 for x in n.stores.iter_mut().filter(|x| x.id == e.id) {
                     x.state = StoreState::Ready;
                     x.since = since;
@@ -91,7 +97,7 @@
     for e in set.stores.iter().filter(|e| e.state == StoreState::Leaving) {
         let filling = set.stores.iter().any(|x| x.state == StoreState::Copying);
         let own = sight(e.id).is_none_or(|s| s.silent > AT_WORK || s.status.repaired >= e.since);
-        if !filling && own && repaired(set, seen, e.since, e.id) {
+        if !filling && own && repaired(set, seen, e.since, e.id).is_some() {
             return next(&|n| {
                 n.stores.retain(|x| x.id != e.id);
                 n.emptied.push(e.name.clone());
@@ -100,27 +106,35 @@
     }
     if counted > 3 {
         if let Some(e) = set.counted().find(|e| silent(e.id) > GONE) {
-            return next(&|n| n.stores.retain(|x| x.id != e.id));
+            return next(&|n| {
+                n.stores.retain(|x| x.id != e.id);
+                n.mending = Some(since);
+            });
+        }
+    }
+    if let Some(m) = set.mending {
+        if repaired(set, seen, m, 0) == Some(0) {
+            return next(&|n| n.mending = None);
         }
     }
     None
 }
 
-/// All counted stores at work but `but` have given lost copies a new place as of `serial`; all but
-/// one of them must be heard.
-fn repaired(set: &StoreSet, seen: &[StoreSight], serial: u64, but: u64) -> bool {
+/// All counted stores at work but `but` have given lost copies a new place as of `serial`: tells how
+/// many were not heard, one at the most.
+fn repaired(set: &StoreSet, seen: &[StoreSight], serial: u64, but: u64) -> Option<usize> {
     let mut missing = 0;
     for e in set.counted().filter(|e| e.id != but && e.state == StoreState::Ready) {
         match seen.iter().find(|s| s.status.id == e.id) {
             Some(s) if s.silent < AT_WORK => {
                 if s.status.repaired < serial {
-                    return false;
+                    return None;
                 }
             }
             _ => missing += 1,
         }
     }
-    missing <= 1
+    (missing <= 1).then_some(missing)
 }
 
 /// Whether a counted store may be emptied: enough must stay for what is to be borne and one copy more.
@@ -185,6 +199,32 @@
         assert_eq!(set.find(9).unwrap().state, StoreState::Ready);
     }
 
+    /// An incident: a turn on one store only was taken for unknown, because all but one said no while
+    /// the copies of a wiped store had no new place yet.
+    #[test]
+    fn while_copies_are_lost_all_must_say_no() {
+        let (set, mut s) = founded();
+        assert_eq!(set.noes(), 3);
+        s[1] = seen(&[(9, "b", true)]).remove(0);
+        let set = next_stores(&set, &s, LONG).unwrap();
+        assert_eq!((set.counted().count(), set.noes()), (3, 3));
+        s[1].status.copied = 2;
+        for i in [0, 2] {
+            s[i].status.repaired = 2;
+        }
+        s[3].silent = Duration::from_secs(3);
+        let set = next_stores(&set, &s, LONG).unwrap();
+        assert_eq!(set.find(9).unwrap().state, StoreState::Ready);
+        assert_eq!(set.noes(), 4, "a silent store may hold the only copy");
+        s[3].silent = Duration::ZERO;
+        s[3].status.repaired = 3;
+        for i in [0, 1, 2] {
+            s[i].status.repaired = 3;
+        }
+        let set = next_stores(&set, &s, LONG).unwrap();
+        assert_eq!(set.noes(), 3);
+    }
+
     #[test]
     fn a_leaving_store_goes_once_its_copies_are_elsewhere() {
         let (mut set, mut s) = founded();
--- a/crates/control-cell/src/owner/feed.rs
+++ b/crates/control-cell/src/owner/feed.rs
@@ -135,9 +135,10 @@
     }
 
     pub fn listed(&mut self, area: String, epoch: u64, engines: Vec<EngineEntry>) {
+        let first = self.lives << 32;
         let seq = match self.tables.get(&area) {
             Some(t) if t.epoch > epoch => return,
-            Some(t) if t.epoch == epoch => {
+            Some(t) if t.epoch == epoch && t.seq >= first => {
                 // What merely ages is no news.
                 let same = t.engines.len() == engines.len()
                     && t.engines.iter().zip(&engines).all(|(a, b)| {
@@ -150,9 +151,10 @@
                 if same {
                     return;
                 }
-                t.seq + 1
+                (t.seq + 1).max(first)
             }
-            _ => 1,
+            // A table of this cell's life before, or of another holder, is told anew whatever it says.
+            _ => first,
         };
         let table = AreaTable { area, epoch, seq, engines };
         self.take_table(table.clone());
--- a/crates/control-cell/src/owner/work.rs
+++ b/crates/control-cell/src/owner/work.rs
@@ -18,6 +18,8 @@
     pub env: Arc<NodeEnv>,
     pub queue: mpsc::Sender<CellCommand>,
     pub me: Member,
+    /// Starts on this disk: what this cell numbers never goes back over a restart.
+    pub lives: u64,
     pub began: Instant,
     pub agree: Agreement,
     pub disk: AgreementDisk,
@@ -64,8 +66,8 @@
         // The identity lasts as long as the disk: a cell that finds none is a new member.
         let founders: Vec<String> =
             env.seeds.iter().map(|s| env.inner_addr(&s.ip().to_string(), CELL_PORT)).collect();
-        let id = match load_snapshot(&dir, "identity")?.and_then(|b| decode::<u64>(&b)) {
-            Some(id) => id,
+        let (id, lives) = match load_snapshot(&dir, "identity")?.and_then(|b| decode::<(u64, u64)>(&b)) {
+            Some((id, lives)) => (id, lives + 1),
             None => {
                 let founds = env.first_start && founders.contains(&own);
                 let id = if founds { id_of_founder(&own) } else { fastrand::u64(1..1 << 62) };
@@ -82,10 +84,10 @@
                     log.snap.members.dedup();
                     disk.save_snapshot(hard, &log)?;
                 }
-                save_snapshot(&dir, "identity", &encode(&id))?;
-                id
+                (id, 1)
             }
         };
+        save_snapshot(&dir, "identity", &encode(&(id, lives)))?;
         let me = Member { id, name: env.node_name.clone(), addr: own, area: env.area.clone() };
         let state = match log.snap.data.is_empty() {
             true => CellState::default(),
@@ -102,6 +104,7 @@
             env,
             queue,
             me,
+            lives,
             began: now,
             disk,
             state,
--- a/crates/inner-protocol/src/stores.rs
+++ b/crates/inner-protocol/src/stores.rs
@@ -28,6 +28,9 @@
     pub stores: Vec<StoreEntry>,
     /// Names of machines that were emptied and may be taken away.
     pub emptied: Vec<String>,
+    /// A counted store was lost at this serial, and the copies it held may not have a new place yet:
+    /// until then some turns lie on one store only.
+    pub mending: Option<u64>,
 }
 
 impl StoreSet {
@@ -39,6 +42,16 @@
         self.counted().count() / 2 + 1
     }
 
+    /// How many stores must say no before a turn is surely unknown: all but one when every turn has
+    /// its two copies, else all that count.
+    pub fn noes(&self) -> usize {
+        let n = self.counted().count();
+        match self.mending {
+            Some(_) => n,
+            None => n.saturating_sub(1).max(1),
+        }
+    }
+
     pub fn find(&self, id: u64) -> Option<&StoreEntry> {
         self.stores.iter().find(|s| s.id == id)
     }
--- a/crates/request-proxy/src/turns/open.rs
+++ b/crates/request-proxy/src/turns/open.rs
@@ -23,6 +23,8 @@
     pub req: u64,
     pub counted: usize,
     pub majority: usize,
+    /// How many must say no.
+    pub noes: usize,
     pub wants_turn: bool,
     pub answered: usize,
     pub failed: usize,
@@ -48,6 +50,7 @@
             req,
             counted: set.counted().count(),
             majority: set.majority(),
+            noes: set.noes(),
             wants_turn,
             answered: 0,
             failed: 0,
@@ -120,8 +123,9 @@
                 None => OpenStep::Wait,
             };
         }
-        // Each turn lies on two stores: when all but one say no, none has it.
-        if self.said_no + 1 >= self.counted.max(2) {
+        // Each turn lies on two stores: when all but one say no, none has it. While a lost store's
+        // copies are given anew, all must.
+        if self.said_no >= self.noes {
             return OpenStep::Fault(OpenFault::NoTurn);
         }
         if self.answered + self.failed >= self.counted {
@@ -155,7 +159,7 @@
                 since: 1,
             })
             .collect();
-        StoreSet { serial: 1, stores, emptied: Vec::new() }
+        StoreSet { serial: 1, stores, emptied: Vec::new(), mending: None }
     }
 
     fn reply(ledger: &[(u64, u32, bool)], held: Held, turns: &[&str]) -> OpenReply {
--- a/crates/turn-store/src/repair/mod.rs
+++ b/crates/turn-store/src/repair/mod.rs
@@ -98,7 +98,7 @@
                 } else {
                     stores[hit as usize - 1].state = StoreState::Leaving;
                 }
-                let set = StoreSet { serial: 2, stores, emptied: Vec::new() };
+                let set = StoreSet { serial: 2, stores, emptied: Vec::new(), mending: None };
                 let mut recs = Vec::new();
                 for i in 0..20 {
                     let a = u.int_in_range(1..=n)?;
