A store being filled may hold one of a turn's two copies: it counts among those that can't say no

Cause (LOST after closing wipes): once the lost copies had a new place on the newcomer, all but one of the counted stores said no, but the newcomer, which couldn't be asked yet, held a copy.

--- a/crates/control-cell/src/duties/stores.rs
+++ b/crates/control-cell/src/duties/stores.rs
@@ -208,6 +208,10 @@
         s[1] = seen(&[(9, "b", true)]).remove(0);
         let set = next_stores(&set, &s, LONG).unwrap();
         assert_eq!((set.counted().count(), set.noes()), (3, 3));
+        // Repaired or not, a copy may lie on the one that is being filled, which can't say no.
+        let mut mended = set.clone();
+        mended.mending = None;
+        assert_eq!(mended.noes(), 3);
         s[1].status.copied = 2;
         for i in [0, 2] {
             s[i].status.repaired = 2;
--- a/crates/inner-protocol/src/stores.rs
+++ b/crates/inner-protocol/src/stores.rs
@@ -43,12 +43,13 @@
     }
 
     /// How many stores must say no before a turn is surely unknown: all but one when every turn has
-    /// its two copies, else all that count.
+    /// its two copies, else all that count. A store that is being filled may hold one of the two, and
+    /// can't say no.
     pub fn noes(&self) -> usize {
         let n = self.counted().count();
         match self.mending {
             Some(_) => n,
-            None => n.saturating_sub(1).max(1),
+            None => n.min(self.stores.len().saturating_sub(1)).max(1),
         }
     }
 
--- a/crates/request-proxy/src/turns/bank.rs
+++ b/crates/request-proxy/src/turns/bank.rs
@@ -140,7 +140,13 @@
         loop {
             match ledger.step(&asked, &ids) {
                 OpenStep::Ready => break,
-                OpenStep::Fault(f) => return Err(f),
+                OpenStep::Fault(f) => {
+                    info!(
+                        "open under set {}: {:?} after {} no of {}, {} failed: turn {:?}",
+                        set.serial, f, ledger.said_no, ledger.noes, ledger.failed, ask.previous
+                    );
+                    return Err(f);
+                }
                 OpenStep::Fetch(id, turns) => {
                     asked.push(id);
                     if let Some(e) = set.find(id) {
