--- a/crates/agreement/src/core/lead.rs
+++ b/crates/agreement/src/core/lead.rs
@@ -65,11 +65,7 @@
     }
 
     fn place(&mut self, body: Body) -> (u64, u64) {
-        let e = Entry {
-            index: self.log.last() + 1,
-            term: self.hard.term,
-            body,
-        };
+        let e = Entry { index: self.log.last() + 1, term: self.hard.term, body };
         let at = (e.index, e.term);
         self.log.entries.push(e.clone());
         self.out.push(Effect::SaveEntries { from: e.index, entries: vec![e] });
@@ -99,7 +95,8 @@
         let Some(lead) = &mut self.lead else { return };
         lead.round += 1;
         lead.next_beat = now + beat;
-        let ids: Vec<u64> = self.log.members().iter().map(|m| m.id).filter(|i| *i != self.me).collect();
+        let ids: Vec<u64> =
+            self.log.members().iter().map(|m| m.id).filter(|i| *i != self.me).collect();
         if let Some(lead) = &mut self.lead {
             lead.peers.retain(|id, _| ids.contains(id));
         }
@@ -167,7 +164,14 @@
         self.out.push(Effect::Send { to: id, msg });
     }
 
-    pub(super) fn append_reply(&mut self, from: u64, ok: bool, matched: u64, round: u64, now: Duration) {
+    pub(super) fn append_reply(
+        &mut self,
+        from: u64,
+        ok: bool,
+        matched: u64,
+        round: u64,
+        now: Duration,
+    ) {
         let last = self.log.last();
         let Some(lead) = &mut self.lead else { return };
         let Some(p) = lead.peers.get_mut(&from) else {
@@ -208,10 +212,17 @@
             .iter()
             .map(|m| if m.id == me { last } else { lead.peers.get(&m.id).map_or(0, |p| p.matched) })
             .collect());
-        let round = nth(members
-            .iter()
-            .map(|m| if m.id == me { u64::MAX } else { lead.peers.get(&m.id).map_or(0, |p| p.round) })
-            .collect());
+        let round =
+            nth(members
+                .iter()
+                .map(|m| {
+                    if m.id == me {
+                        u64::MAX
+                    } else {
+                        lead.peers.get(&m.id).map_or(0, |p| p.round)
+                    }
+                })
+                .collect());
         let round = if round == u64::MAX { lead.round } else { round };
         if reach > self.commit && self.log.term_at(reach) == Some(self.hard.term) {
             self.advance(reach);
@@ -256,7 +267,8 @@
         }
         let at = self.place(body);
         self.out.push(Effect::Placed { token, at: Some(at) });
-        let ids: Vec<u64> = self.log.members().iter().map(|m| m.id).filter(|i| *i != self.me).collect();
+        let ids: Vec<u64> =
+            self.log.members().iter().map(|m| m.id).filter(|i| *i != self.me).collect();
         for id in ids {
             self.send_to(id, now, false);
         }
--- a/crates/agreement/src/core/machine.rs
+++ b/crates/agreement/src/core/machine.rs
@@ -33,14 +33,25 @@
 #[derive(Debug, Clone)]
 pub enum Event {
     Tick,
-    Heard { from: u64, msg: Msg },
-    Propose { token: u64, body: Body },
+    Heard {
+        from: u64,
+        msg: Msg,
+    },
+    Propose {
+        token: u64,
+        body: Body,
+    },
     /// Confirm leadership for a reader.
-    Confirm { token: u64 },
+    Confirm {
+        token: u64,
+    },
     /// Hand the lead to the follower that is furthest on.
     HandOver,
     /// The owner has put everything up to `index` into `data`.
-    Compact { index: u64, data: ByteBuf },
+    Compact {
+        index: u64,
+        data: ByteBuf,
+    },
 }
 
 /// Effects in the order they must be carried out: what is saved comes before what is sent.
@@ -48,15 +59,27 @@
 pub enum Effect {
     SaveHard(Hard),
     /// The log from `from` on is replaced by these entries.
-    SaveEntries { from: u64, entries: Vec<Entry> },
+    SaveEntries {
+        from: u64,
+        entries: Vec<Entry>,
+    },
     SaveSnapshot(Snapshot),
-    Send { to: u64, msg: Msg },
+    Send {
+        to: u64,
+        msg: Msg,
+    },
     Apply(Entry),
     Restore(Snapshot),
     /// A proposal's place in the log, or none when this cell can't take it.
-    Placed { token: u64, at: Option<(u64, u64)> },
+    Placed {
+        token: u64,
+        at: Option<(u64, u64)>,
+    },
     /// A read may be served once this index is applied; none when it can't be confirmed.
-    Confirmed { token: u64, index: Option<u64> },
+    Confirmed {
+        token: u64,
+        index: Option<u64>,
+    },
     RoleIs(RoleState),
 }
 
@@ -148,7 +171,10 @@
     }
 
     fn chance(&mut self) -> f64 {
-        self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        self.seed = self
+            .seed
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
         (self.seed >> 33) as f64 / (1u64 << 31) as f64
     }
 
@@ -267,9 +293,7 @@
         match msg {
             Msg::PreVote { term, last, last_term } => {
                 let calm = self.leads()
-                    || self
-                        .heard_leader
-                        .is_some_and(|t| now < t + self.tuning.election_low);
+                    || self.heard_leader.is_some_and(|t| now < t + self.tuning.election_low);
                 let granted = term > self.hard.term && !calm && self.up_to_date(last, last_term);
                 let reply = Msg::PreVoteReply { term: self.hard.term, granted };
                 self.out.push(Effect::Send { to: from, msg: reply });
@@ -283,9 +307,7 @@
                 }
             }
             Msg::Vote { term, last, last_term, forced } => {
-                let calm = self
-                    .heard_leader
-                    .is_some_and(|t| now < t + self.tuning.election_low);
+                let calm = self.heard_leader.is_some_and(|t| now < t + self.tuning.election_low);
                 if calm && !forced && term > self.hard.term {
                     return;
                 }
@@ -346,12 +368,7 @@
     /// True when `from` leads this term; answers an outdated leader.
     fn follow(&mut self, from: u64, term: u64, round: u64, now: Duration) -> bool {
         if term < self.hard.term {
-            let reply = Msg::AppendReply {
-                term: self.hard.term,
-                ok: false,
-                matched: 0,
-                round,
-            };
+            let reply = Msg::AppendReply { term: self.hard.term, ok: false, matched: 0, round };
             self.out.push(Effect::Send { to: from, msg: reply });
             return false;
         }
@@ -445,12 +462,7 @@
         let Some(term) = self.log.term_at(index) else {
             return;
         };
-        let snap = Snapshot {
-            index,
-            term,
-            members: self.log.members_at(index),
-            data,
-        };
+        let snap = Snapshot { index, term, members: self.log.members_at(index), data };
         self.log.entries = self.log.from(index + 1).to_vec();
         self.log.snap = snap.clone();
         self.out.push(Effect::SaveSnapshot(snap));
--- a/crates/agreement/src/core/schedule_tests.rs
+++ b/crates/agreement/src/core/schedule_tests.rs
@@ -95,7 +95,8 @@
             return;
         }
         let at = i % self.flight.len();
-        let (from, to, msg) = if keep { self.flight[at].clone() } else { self.flight.swap_remove(at) };
+        let (from, to, msg) =
+            if keep { self.flight[at].clone() } else { self.flight.swap_remove(at) };
         if self.cut.contains(&from) != self.cut.contains(&to) {
             return;
         }
@@ -203,83 +204,87 @@
 /// take proposals again.
 #[test]
 fn generated_schedules_keep_what_was_agreed() {
-    arbtest::arbtest(|u| {
-        let mut w = World::new(&[1, 2, 3, 4]);
-        w.settle();
-        let mut fresh = 10;
-        let mut val = 0u8;
-        for _ in 0..u.int_in_range(20..=140)? {
-            match u.int_in_range(0..=20)? {
-                0..=9 => {
-                    let i = u.int_in_range(0..=1000)?;
-                    w.deliver(i, false);
-                }
-                10 => {
-                    let i = u.int_in_range(0..=1000)?;
-                    w.deliver(i, true);
-                }
-                11 if !w.flight.is_empty() => {
-                    let i = u.int_in_range(0..=w.flight.len() - 1)?;
-                    w.flight.swap_remove(i);
-                }
-                12..=14 => {
-                    w.now += Duration::from_millis(u.int_in_range(10..=700)?);
-                    let ids: Vec<u64> = w.nodes.keys().copied().collect();
-                    for id in ids {
-                        w.step(id, Event::Tick);
+    for seed in 0..600u64 {
+        arbtest::arbtest(|u| {
+            let mut w = World::new(&[1, 2, 3, 4]);
+            w.settle();
+            let mut fresh = 10;
+            let mut val = 0u8;
+            for _ in 0..u.int_in_range(20..=140)? {
+                match u.int_in_range(0..=20)? {
+                    0..=9 => {
+                        let i = u.int_in_range(0..=1000)?;
+                        w.deliver(i, false);
                     }
-                }
-                15 => {
-                    let ids: Vec<u64> = w.nodes.keys().copied().collect();
-                    let id = *u.choose(&ids)?;
-                    w.crash(id);
-                }
-                16 => {
-                    let ids: Vec<u64> = w.nodes.keys().copied().collect();
-                    let id = *u.choose(&ids)?;
-                    if !w.cut.remove(&id) && w.cut.is_empty() {
-                        w.cut.insert(id);
+                    10 => {
+                        let i = u.int_in_range(0..=1000)?;
+                        w.deliver(i, true);
                     }
-                }
-                17 if fresh == 10 => {
-                    // A member loses its disk: it comes back as another, and is taken in step by step.
-                    let ids: Vec<u64> = w.nodes.keys().copied().collect();
-                    let id = *u.choose(&ids)?;
-                    w.nodes.remove(&id);
-                    w.start(fresh, Hard::default(), TermLog::default());
-                    fresh += 1;
-                }
-                18 => {
-                    if let Some(l) = w.leader() {
-                        let a = &w.nodes[&l].agree;
-                        let mut m = a.log.members().to_vec();
-                        if let Some(i) = m.iter().position(|m| !w.nodes.contains_key(&m.id)) {
-                            m.remove(i);
-                        } else if let Some(id) = w.nodes.keys().find(|i| !m.iter().any(|m| m.id == **i)) {
-                            m.push(member(*id));
+                    11 if !w.flight.is_empty() => {
+                        let i = u.int_in_range(0..=w.flight.len() - 1)?;
+                        w.flight.swap_remove(i);
+                    }
+                    12..=14 => {
+                        w.now += Duration::from_millis(u.int_in_range(10..=700)?);
+                        let ids: Vec<u64> = w.nodes.keys().copied().collect();
+                        for id in ids {
+                            w.step(id, Event::Tick);
                         }
-                        w.propose(Body::Members(m));
                     }
-                }
-                19 => {
-                    if let Some(l) = w.leader() {
-                        let at = w.nodes[&l].agree.applied;
-                        w.step(l, Event::Compact { index: at, data: ByteBuf::new() });
+                    15 => {
+                        let ids: Vec<u64> = w.nodes.keys().copied().collect();
+                        let id = *u.choose(&ids)?;
+                        w.crash(id);
+                    }
+                    16 => {
+                        let ids: Vec<u64> = w.nodes.keys().copied().collect();
+                        let id = *u.choose(&ids)?;
+                        if !w.cut.remove(&id) && w.cut.is_empty() {
+                            w.cut.insert(id);
+                        }
+                    }
+                    17 if fresh == 10 => {
+                        // A member loses its disk: it comes back as another, and is taken in step by step.
+                        let ids: Vec<u64> = w.nodes.keys().copied().collect();
+                        let id = *u.choose(&ids)?;
+                        w.nodes.remove(&id);
+                        w.start(fresh, Hard::default(), TermLog::default());
+                        fresh += 1;
+                    }
+                    18 => {
+                        if let Some(l) = w.leader() {
+                            let a = &w.nodes[&l].agree;
+                            let mut m = a.log.members().to_vec();
+                            if let Some(i) = m.iter().position(|m| !w.nodes.contains_key(&m.id)) {
+                                m.remove(i);
+                            } else if let Some(id) =
+                                w.nodes.keys().find(|i| !m.iter().any(|m| m.id == **i))
+                            {
+                                m.push(member(*id));
+                            }
+                            w.propose(Body::Members(m));
+                        }
+                    }
+                    19 => {
+                        if let Some(l) = w.leader() {
+                            let at = w.nodes[&l].agree.applied;
+                            w.step(l, Event::Compact { index: at, data: ByteBuf::new() });
+                        }
+                    }
+                    _ => {
+                        val = val.wrapping_add(1);
+                        w.propose(Body::Command(ByteBuf::from(vec![val])));
                     }
-                }
-                _ => {
-                    val = val.wrapping_add(1);
-                    w.propose(Body::Command(ByteBuf::from(vec![val])));
                 }
             }
-        }
-        w.settle();
-        w.settle();
-        let before = w.agreed.len();
-        w.propose(Body::Command(ByteBuf::from(vec![255, 255])));
-        w.settle();
-        assert!(w.agreed.len() > before, "calm returned and nothing is agreed on");
-        Ok(())
-    })
-    .budget(Duration::from_secs(3));
+            w.settle();
+            w.settle();
+            let before = w.agreed.len();
+            w.propose(Body::Command(ByteBuf::from(vec![255, 255])));
+            w.settle();
+            assert!(w.agreed.len() > before, "calm returned and nothing is agreed on");
+            Ok(())
+        })
+        .seed(seed << 32 | 4096);
+    }
 }
--- a/crates/agreement/src/store/mod.rs
+++ b/crates/agreement/src/store/mod.rs
@@ -19,10 +19,8 @@
 impl AgreementDisk {
     /// Reads what was saved. The disk was never used when the returned log and vote are empty.
     pub fn open(dir: &Path) -> NodeResult<(Self, Hard, TermLog)> {
-        std::fs::create_dir_all(dir).map_err(|e| NodeError::Io {
-            what: dir.display().to_string(),
-            source: e,
-        })?;
+        std::fs::create_dir_all(dir)
+            .map_err(|e| NodeError::Io { what: dir.display().to_string(), source: e })?;
         let mut tl = TermLog::default();
         if let Some(b) = load_snapshot(dir, SNAPSHOT)? {
             tl.snap = decode(&b).ok_or_else(|| NodeError::Damaged {
@@ -42,7 +40,8 @@
             }
             None => bad = true,
         })?;
-        let whole = tl.entries.iter().enumerate().all(|(i, e)| e.index == tl.snap.index + 1 + i as u64);
+        let whole =
+            tl.entries.iter().enumerate().all(|(i, e)| e.index == tl.snap.index + 1 + i as u64);
         if bad || !whole {
             return Err(NodeError::Damaged {
                 file: dir.display().to_string(),
--- a/crates/control-cell/src/duties/stores.rs
+++ b/crates/control-cell/src/duties/stores.rs
@@ -42,7 +42,8 @@
             return None;
         }
         return next(&|n| {
-            n.stores = founders.iter().map(|s| entry(&s.status, StoreState::Ready, since)).collect();
+            n.stores =
+                founders.iter().map(|s| entry(&s.status, StoreState::Ready, since)).collect();
         });
     }
     let sight = |id: u64| seen.iter().find(|s| s.status.id == id);
@@ -59,9 +60,7 @@
         let old = set.stores.iter().find(|e| {
             e.name == st.name
                 || e.addr == st.addr
-                || (e.area == st.area
-                    && e.state != StoreState::Copying
-                    && silent(e.id) > REPLACED)
+                || (e.area == st.area && e.state != StoreState::Copying && silent(e.id) > REPLACED)
         });
         let gone = old.filter(|e| e.state == StoreState::Copying || counted > 1).map(|e| e.id);
         if old.is_some() && gone.is_none() {
--- a/crates/control-cell/src/listing/mod.rs
+++ b/crates/control-cell/src/listing/mod.rs
@@ -7,7 +7,11 @@
 const PERIOD: Duration = Duration::from_millis(900);
 const WITHIN: Duration = Duration::from_millis(800);
 
-pub async fn read_lists(cloud: CloudEnv, mut held: watch::Receiver<Held>, out: mpsc::Sender<CellCommand>) {
+pub async fn read_lists(
+    cloud: CloudEnv,
+    mut held: watch::Receiver<Held>,
+    out: mpsc::Sender<CellCommand>,
+) {
     let mut back = Backoff::new(Duration::from_millis(200), Duration::from_secs(2));
     loop {
         let now: Held = held.borrow_and_update().clone();
--- a/crates/control-cell/src/operator/mod.rs
+++ b/crates/control-cell/src/operator/mod.rs
@@ -11,7 +11,8 @@
 fn answer(status: u16, body: Value) -> Answer {
     let mut r = Response::new(Full::new(Bytes::from(body.to_string())));
     *r.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    r.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
+    r.headers_mut()
+        .insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
     r
 }
 
@@ -122,7 +123,9 @@
 async fn retire(cell: CellHandle, node: &str, ask_only: bool) -> Answer {
     match cell.retire(node.to_string(), ask_only).await {
         CellReply::Retire(RetireState::Unknown) => answer(404, json!({"error": "no such machine"})),
-        CellReply::Retire(RetireState::TooFew) => answer(409, json!({"error": "too few would be left"})),
+        CellReply::Retire(RetireState::TooFew) => {
+            answer(409, json!({"error": "too few would be left"}))
+        }
         CellReply::Retire(RetireState::Running) => answer(200, json!({"state": "running"})),
         CellReply::Retire(RetireState::Completed) => answer(200, json!({"state": "completed"})),
         _ => unable(),
--- a/crates/control-cell/src/owner/agree.rs
+++ b/crates/control-cell/src/owner/agree.rs
@@ -48,7 +48,8 @@
             match e {
                 Effect::Send { to, msg } => self.send(to, msg),
                 Effect::Apply(entry) => {
-                    if !self.apply(entry) {
+                    let ok = self.apply(entry);
+                    if !ok {
                         return false;
                     }
                 }
--- a/crates/control-cell/src/owner/handle.rs
+++ b/crates/control-cell/src/owner/handle.rs
@@ -7,11 +7,22 @@
 pub enum CellCommand {
     Call(CellCall, oneshot::Sender<CellReply>),
     Tell(CellCall),
-    Listed { area: String, epoch: u64, engines: Vec<EngineEntry> },
-    Follow { feed: u64, no: u64, reply: oneshot::Sender<Option<(FeedReceiver, u64)>> },
+    Listed {
+        area: String,
+        epoch: u64,
+        engines: Vec<EngineEntry>,
+    },
+    Follow {
+        feed: u64,
+        no: u64,
+        reply: oneshot::Sender<Option<(FeedReceiver, u64)>>,
+    },
     ReadConfig(oneshot::Sender<Option<Option<Bytes>>>),
     /// A forwarded confirmation came back: the index to have applied, or none.
-    ForwardConfirmed { token: u64, index: Option<u64> },
+    ForwardConfirmed {
+        token: u64,
+        index: Option<u64>,
+    },
     Leave(oneshot::Sender<()>),
 }
 
--- a/crates/control-cell/src/owner/lead.rs
+++ b/crates/control-cell/src/owner/lead.rs
@@ -49,8 +49,11 @@
             return;
         }
         self.next_join = now + Duration::from_millis(500);
-        let heard = self.agree.last_touch().is_some_and(|t| self.began.elapsed() < t + Duration::from_millis(1500));
-        let known = self.agree.log.members().iter().any(|m| *m == self.me);
+        let heard = self
+            .agree
+            .last_touch()
+            .is_some_and(|t| self.began.elapsed() < t + Duration::from_millis(1500));
+        let known = self.agree.log.members().contains(&self.me);
         if heard && known || self.ending.is_some() {
             return;
         }
@@ -106,9 +109,7 @@
         }
 
         let areas: BTreeSet<String> = self.env.areas.keys().cloned().collect();
-        let alive = |id: u64| {
-            !self.leaving.contains_key(&id) && silent(id) < HOLDER_SILENT
-        };
+        let alive = |id: u64| !self.leaving.contains_key(&id) && silent(id) < HOLDER_SILENT;
         if let Some(holders) = next_holders(&self.state.holders, &areas, &members, alive) {
             return self.change(Change::PutHolders { holders });
         }
--- a/crates/control-cell/src/owner/work.rs
+++ b/crates/control-cell/src/owner/work.rs
@@ -7,7 +7,11 @@
 
 pub(super) enum Reader {
     Config(oneshot::Sender<Option<Option<Bytes>>>),
-    Follow { feed: u64, no: u64, reply: oneshot::Sender<Option<(FeedReceiver, u64)>> },
+    Follow {
+        feed: u64,
+        no: u64,
+        reply: oneshot::Sender<Option<(FeedReceiver, u64)>>,
+    },
     /// Another cell asks on behalf of its reader.
     Index(oneshot::Sender<CellReply>),
 }
@@ -66,27 +70,28 @@
         // The identity lasts as long as the disk: a cell that finds none is a new member.
         let founders: Vec<String> =
             env.seeds.iter().map(|s| env.inner_addr(&s.ip().to_string(), CELL_PORT)).collect();
-        let (id, lives) = match load_snapshot(&dir, "identity")?.and_then(|b| decode::<(u64, u64)>(&b)) {
-            Some((id, lives)) => (id, lives + 1),
-            None => {
-                let founds = env.first_start && founders.contains(&own);
-                let id = if founds { id_of_founder(&own) } else { fastrand::u64(1..1 << 62) };
-                if founds {
-                    log.snap.members = founders
-                        .iter()
-                        .map(|a| Member {
-                            id: id_of_founder(a),
-                            name: String::new(),
-                            addr: a.clone(),
-                            area: String::new(),
-                        })
-                        .collect();
-                    log.snap.members.dedup();
-                    disk.save_snapshot(hard, &log)?;
+        let (id, lives) =
+            match load_snapshot(&dir, "identity")?.and_then(|b| decode::<(u64, u64)>(&b)) {
+                Some((id, lives)) => (id, lives + 1),
+                None => {
+                    let founds = env.first_start && founders.contains(&own);
+                    let id = if founds { id_of_founder(&own) } else { fastrand::u64(1..1 << 62) };
+                    if founds {
+                        log.snap.members = founders
+                            .iter()
+                            .map(|a| Member {
+                                id: id_of_founder(a),
+                                name: String::new(),
+                                addr: a.clone(),
+                                area: String::new(),
+                            })
+                            .collect();
+                        log.snap.members.dedup();
+                        disk.save_snapshot(hard, &log)?;
+                    }
+                    (id, 1)
                 }
-                (id, 1)
-            }
-        };
+            };
         save_snapshot(&dir, "identity", &encode(&(id, lives)))?;
         let me = Member { id, name: env.node_name.clone(), addr: own, area: env.area.clone() };
         let state = match log.snap.data.is_empty() {
@@ -286,7 +291,10 @@
     }
 
     pub fn caller(&mut self, addr: &str) -> Caller {
-        self.callers.entry(addr.to_string()).or_insert_with(|| Caller::new(addr.to_string())).clone()
+        self.callers
+            .entry(addr.to_string())
+            .or_insert_with(|| Caller::new(addr.to_string()))
+            .clone()
     }
 
     fn told(&self) -> CellTold {
--- a/crates/feed-agent/src/lib.rs
+++ b/crates/feed-agent/src/lib.rs
@@ -7,9 +7,8 @@
 
 pub async fn run_agent(env: NodeEnv) -> NodeResult<()> {
     let addr = format!("127.0.0.1:{}", env.internal_ports.0 + AGENT_PORT);
-    let listener = TcpListener::bind(&addr)
-        .await
-        .map_err(|e| NodeError::Io { what: addr, source: e })?;
+    let listener =
+        TcpListener::bind(&addr).await.map_err(|e| NodeError::Io { what: addr, source: e })?;
     let (tx, rx) = mpsc::channel(256);
     let (_word, no_word) = watch::channel(None);
     let follow = FollowEnv {
--- a/crates/feed-follow/src/view/mod.rs
+++ b/crates/feed-follow/src/view/mod.rs
@@ -18,10 +18,8 @@
     pub fn take(&mut self, item: &FeedItem) -> bool {
         match item {
             FeedItem::Config { index, serial, body } => {
-                let newer = self
-                    .config
-                    .as_ref()
-                    .is_none_or(|(i, s, _)| *index > *i && *serial > *s);
+                let newer =
+                    self.config.as_ref().is_none_or(|(i, s, _)| *index > *i && *serial > *s);
                 if newer {
                     self.config = Some((*index, *serial, body.clone()));
                 }
@@ -35,10 +33,8 @@
                 newer
             }
             FeedItem::Area(t) => {
-                let newer = self
-                    .areas
-                    .get(&t.area)
-                    .is_none_or(|o| (t.epoch, t.seq) > (o.epoch, o.seq));
+                let newer =
+                    self.areas.get(&t.area).is_none_or(|o| (t.epoch, t.seq) > (o.epoch, o.seq));
                 if newer {
                     self.areas.insert(t.area.clone(), t.clone());
                 }
--- a/crates/inner-protocol/src/cells.rs
+++ b/crates/inner-protocol/src/cells.rs
@@ -75,17 +75,34 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum CellCall {
     /// One way: an agreement message and who sent it, with the address to answer to.
-    Agree { from: u64, addr: String, msg: Msg },
-    Join { member: Member },
+    Agree {
+        from: u64,
+        addr: String,
+        msg: Msg,
+    },
+    Join {
+        member: Member,
+    },
     /// A cell ends in order: its areas go to others.
-    Leave { id: u64 },
-    Propose { change: Change },
+    Leave {
+        id: u64,
+    },
+    Propose {
+        change: Change,
+    },
     /// Confirms with a majority; answered with the index a reader must have applied.
     Confirm,
-    Announce { status: StoreStatus },
+    Announce {
+        status: StoreStatus,
+    },
     /// One way: a holder's table of its area.
-    Table { table: AreaTable },
-    Retire { store: String, ask_only: bool },
+    Table {
+        table: AreaTable,
+    },
+    Retire {
+        store: String,
+        ask_only: bool,
+    },
     /// What `doctor` asks.
     Tell,
 }
--- a/crates/inner-protocol/src/feed.rs
+++ b/crates/inner-protocol/src/feed.rs
@@ -27,11 +27,18 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FeedItem {
     /// The operator's configuration, as it was sent, by log index.
-    Config { index: u64, serial: u64, body: ByteBuf },
+    Config {
+        index: u64,
+        serial: u64,
+        body: ByteBuf,
+    },
     Stores(StoreSet),
     Area(AreaTable),
     /// Addresses of the cells, by log index.
-    Cells { index: u64, addrs: Vec<String> },
+    Cells {
+        index: u64,
+        addrs: Vec<String>,
+    },
     /// All that was sent before is confirmed current by a majority of the core.
     Current,
     /// The cell is still followed by, or follows, a majority.
@@ -48,13 +55,21 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum FollowMsg {
     /// Opens the feed: `feed` and `no` name the place to go on from, when the cell still has it.
-    Follow { name: String, feed: u64, no: u64 },
-    Announce { status: StoreStatus },
+    Follow {
+        name: String,
+        feed: u64,
+        no: u64,
+    },
+    Announce {
+        status: StoreStatus,
+    },
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum FeedMsg {
     /// The number of the feed: a new one each life of a cell.
-    Open { feed: u64 },
+    Open {
+        feed: u64,
+    },
     Items(Vec<Numbered>),
 }
--- a/crates/inner-protocol/src/stores.rs
+++ b/crates/inner-protocol/src/stores.rs
@@ -153,15 +153,31 @@
 pub enum StoreCall {
     Open(OpenCall),
     /// Turns by id.
-    Fetch { ids: Vec<String> },
+    Fetch {
+        ids: Vec<String>,
+    },
     /// Keeps a turn and settles its reservation.
-    Close { serial: u64, record: TurnRecord, req: u64, tokens: u32 },
+    Close {
+        serial: u64,
+        record: TurnRecord,
+        req: u64,
+        tokens: u32,
+    },
     /// Settles a reservation of a turn that doesn't count.
-    Settle { program: String, req: u64, tokens: u32 },
+    Settle {
+        program: String,
+        req: u64,
+        tokens: u32,
+    },
     /// Another store hands over copies.
-    Keep { records: Vec<TurnRecord> },
+    Keep {
+        records: Vec<TurnRecord>,
+    },
     /// A store that fills its tables asks for the ledger, from a program on.
-    Ledger { serial: u64, after: Option<String> },
+    Ledger {
+        serial: u64,
+        after: Option<String>,
+    },
     Tell,
 }
 
@@ -173,7 +189,17 @@
     /// The caller works under an older set; here is the newer.
     Stale(StoreSet),
     /// A batch of the ledger; the program to go on after, if any.
-    Ledger { rows: Vec<(String, Vec<LedgerEntry>)>, more: Option<String> },
+    Ledger {
+        rows: Vec<(String, Vec<LedgerEntry>)>,
+        more: Option<String>,
+    },
     Unable,
-    Told { name: String, turns: u64, programs: u64, serial: u64, disk_bytes: u64, fresh: bool },
+    Told {
+        name: String,
+        turns: u64,
+        programs: u64,
+        serial: u64,
+        disk_bytes: u64,
+        fresh: bool,
+    },
 }
--- a/crates/node-base/src/disk/segments.rs
+++ b/crates/node-base/src/disk/segments.rs
@@ -20,10 +20,7 @@
 }
 
 fn io_err(what: &Path, e: std::io::Error) -> NodeError {
-    NodeError::Io {
-        what: what.display().to_string(),
-        source: e,
-    }
+    NodeError::Io { what: what.display().to_string(), source: e }
 }
 
 fn seg_path(dir: &Path, no: u64) -> PathBuf {
@@ -58,11 +55,7 @@
         return Parsed::Bad;
     }
     let synced = u64::from(word(12)) | (u64::from(word(16)) << 32);
-    Parsed::Record {
-        body: &rest[HEAD..HEAD + len],
-        synced,
-        len: HEAD + len,
-    }
+    Parsed::Record { body: &rest[HEAD..HEAD + len], synced, len: HEAD + len }
 }
 
 /// Where the sound part of the bytes ends; an error when bytes known to be synced are damaged.
@@ -270,38 +263,40 @@
     #[test]
     fn cuts_torn_tails_and_tells_damage() {
         let d = tmp("torn");
-        arbtest::arbtest(|u| {
-            let _ = std::fs::remove_dir_all(&d);
-            let mut log = SegmentLog::open(&d, |_, _| {}).unwrap();
-            let keep = u.int_in_range(1..=6)?;
-            for i in 0..keep {
-                log.append(&vec![i as u8; u.int_in_range(0..=40)?]);
+        for seed in 0..150u64 {
+            arbtest::arbtest(|u| {
+                let _ = std::fs::remove_dir_all(&d);
+                let mut log = SegmentLog::open(&d, |_, _| {}).unwrap();
+                let keep = u.int_in_range(1..=6)?;
+                for i in 0..keep {
+                    log.append(&vec![i as u8; u.int_in_range(0..=40)?]);
+                    log.sync().unwrap();
+                }
+                let sure = log.segment_len() as usize;
+                for _ in 0..u.int_in_range(1..=3)? {
+                    log.append(&[7; 30]);
+                }
                 log.sync().unwrap();
-            }
-            let sure = log.segment_len() as usize;
-            for _ in 0..u.int_in_range(1..=3)? {
-                log.append(&[7; 30]);
-            }
-            log.sync().unwrap();
-            let p = seg_path(&d, 1);
-            let mut data = std::fs::read(&p).unwrap();
-            let hit = u.int_in_range(sure..=data.len() - 1)?;
-            if u.arbitrary()? {
-                data.truncate(hit);
-            } else {
-                data[hit] ^= 0x41;
-            }
-            std::fs::write(&p, &data).unwrap();
-            let got = read_all(&d).unwrap();
-            assert!(got.len() >= keep);
-            // Opened again, the cut log is whole and takes more.
-            let mut log = SegmentLog::open(&d, |_, _| {}).unwrap();
-            log.append(b"more");
-            log.sync().unwrap();
-            assert_eq!(read_all(&d).unwrap().last().unwrap(), b"more");
-            Ok(())
-        })
-        .budget(Duration::from_millis(400));
+                let p = seg_path(&d, 1);
+                let mut data = std::fs::read(&p).unwrap();
+                let hit = u.int_in_range(sure..=data.len() - 1)?;
+                if u.arbitrary()? {
+                    data.truncate(hit);
+                } else {
+                    data[hit] ^= 0x41;
+                }
+                std::fs::write(&p, &data).unwrap();
+                let got = read_all(&d).unwrap();
+                assert!(got.len() >= keep);
+                // Opened again, the cut log is whole and takes more.
+                let mut log = SegmentLog::open(&d, |_, _| {}).unwrap();
+                log.append(b"more");
+                log.sync().unwrap();
+                assert_eq!(read_all(&d).unwrap().last().unwrap(), b"more");
+                Ok(())
+            })
+            .seed(seed << 32 | 512);
+        }
         let mut log = {
             let _ = std::fs::remove_dir_all(&d);
             SegmentLog::open(&d, |_, _| {}).unwrap()
--- a/crates/node-base/src/disk/snapshot.rs
+++ b/crates/node-base/src/disk/snapshot.rs
@@ -23,12 +23,7 @@
     let data = match std::fs::read(&p) {
         Ok(d) => d,
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
-        Err(e) => {
-            return Err(NodeError::Io {
-                what: p.display().to_string(),
-                source: e,
-            })
-        }
+        Err(e) => return Err(NodeError::Io { what: p.display().to_string(), source: e }),
     };
     if data.len() < 4 || crc32fast::hash(&data[4..]).to_le_bytes() != data[..4] {
         return Err(NodeError::Damaged {
--- a/crates/node-base/src/error.rs
+++ b/crates/node-base/src/error.rs
@@ -7,22 +7,11 @@
 #[snafu(visibility(pub))]
 pub enum NodeError {
     #[snafu(display("{file}: {field}: {reason}"))]
-    BadEnv {
-        file: String,
-        field: String,
-        reason: String,
-    },
+    BadEnv { file: String, field: String, reason: String },
     #[snafu(display("{what}: {source}"))]
-    Io {
-        what: String,
-        source: std::io::Error,
-    },
+    Io { what: String, source: std::io::Error },
     #[snafu(display("damaged data in {file} at byte {offset}: {reason}"))]
-    Damaged {
-        file: String,
-        offset: u64,
-        reason: String,
-    },
+    Damaged { file: String, offset: u64, reason: String },
     #[snafu(display("{reason}"))]
     Other { reason: String },
 }
--- a/crates/node-base/src/links/caller.rs
+++ b/crates/node-base/src/links/caller.rs
@@ -37,10 +37,7 @@
         within: Duration,
     ) -> LinkResult<R> {
         let (tx, rx) = oneshot::channel();
-        let cmd = Command {
-            body,
-            reply: Some(tx),
-        };
+        let cmd = Command { body, reply: Some(tx) };
         if self.queue.try_send(cmd).is_err() {
             return Err(LinkError::Broken);
         }
@@ -54,10 +51,7 @@
 
     /// Sends without waiting for an answer; lost when the peer is away.
     pub fn tell<Q: Serialize>(&self, q: &Q) {
-        let _ = self.queue.try_send(Command {
-            body: encode(q),
-            reply: None,
-        });
+        let _ = self.queue.try_send(Command { body: encode(q), reply: None });
     }
 }
 
--- a/crates/node-base/src/logs.rs
+++ b/crates/node-base/src/logs.rs
@@ -28,8 +28,6 @@
             spdlog::set_default_logger(log);
             Ok(())
         }
-        Err(e) => Err(NodeError::Other {
-            reason: format!("logs: {e}"),
-        }),
+        Err(e) => Err(NodeError::Other { reason: format!("logs: {e}") }),
     }
 }
--- a/crates/node-base/src/util/mod.rs
+++ b/crates/node-base/src/util/mod.rs
@@ -20,10 +20,7 @@
 
 /// Rendezvous hashing: all ids, best first, for one key.
 pub fn rank_by_rendezvous(key: u64, ids: impl IntoIterator<Item = u64>) -> Vec<u64> {
-    let mut v: Vec<(u64, u64)> = ids
-        .into_iter()
-        .map(|id| (mix(key ^ mix(id)), id))
-        .collect();
+    let mut v: Vec<(u64, u64)> = ids.into_iter().map(|id| (mix(key ^ mix(id)), id)).collect();
     v.sort_unstable_by(|a, b| b.cmp(a));
     v.into_iter().map(|x| x.1).collect()
 }
@@ -37,11 +34,7 @@
 
 impl Backoff {
     pub fn new(low: Duration, high: Duration) -> Self {
-        Backoff {
-            low,
-            high,
-            cur: low,
-        }
+        Backoff { low, high, cur: low }
     }
 
     pub fn reset(&mut self) {
--- a/crates/operator-config/src/check/fields.rs
+++ b/crates/operator-config/src/check/fields.rs
@@ -161,7 +161,8 @@
             };
             let host = self.text(obj, &at, "hostName");
             let prefix = self.text(obj, &at, "pathPrefix");
-            if !prefix.is_empty() && !(prefix.starts_with('/') && prefix.ends_with('/')) {
+            let whole = prefix.starts_with('/') && prefix.ends_with('/');
+            if !prefix.is_empty() && !whole {
                 self.fault(format!("{at}.pathPrefix"), "doesn't begin and end with a slash");
             }
             if !places.insert((host.to_ascii_lowercase(), prefix.clone())) {
--- a/crates/operator-config/src/ways/mod.rs
+++ b/crates/operator-config/src/ways/mod.rs
@@ -85,7 +85,11 @@
 
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<WayEnv>> {
         let bare = host.rsplit_once(':').map_or(host, |(h, p)| {
-            if p.bytes().all(|b| b.is_ascii_digit()) { h } else { host }
+            if p.bytes().all(|b| b.is_ascii_digit()) {
+                h
+            } else {
+                host
+            }
         });
         let list = match self.hosts.get(bare) {
             Some(l) => l,
--- a/crates/outer-calls/src/names/mod.rs
+++ b/crates/outer-calls/src/names/mod.rs
@@ -37,8 +37,23 @@
     fn names_stand_in_the_openapi_files() {
         let engine = load("engine").to_string().to_ascii_lowercase();
         for h in [
-            REQUEST_ID, DEADLINE, PREFIX, STAMP, EXPECT_INSTANCE, EXPECT_VERSION, LOAD, NOT_RUN,
-            INSTANCE_ID, MODEL, TOKENS, URGENCY, WEIGHT_VERSIONS, PROGRAM, SESSION, FINISH, BUDGET,
+            REQUEST_ID,
+            DEADLINE,
+            PREFIX,
+            STAMP,
+            EXPECT_INSTANCE,
+            EXPECT_VERSION,
+            LOAD,
+            NOT_RUN,
+            INSTANCE_ID,
+            MODEL,
+            TOKENS,
+            URGENCY,
+            WEIGHT_VERSIONS,
+            PROGRAM,
+            SESSION,
+            FINISH,
+            BUDGET,
             PREVIOUS,
         ] {
             assert!(engine.contains(&format!("\"{h}\"")), "{h}");
--- a/crates/outer-calls/src/platform/mod.rs
+++ b/crates/outer-calls/src/platform/mod.rs
@@ -45,9 +45,8 @@
             None => format!("{}?zone={area}", names::INSTANCES_PATH),
             Some(t) => format!("{}?zone={area}&pageToken={t}", names::INSTANCES_PATH),
         };
-        let ans = plain_call(addr, Method::GET, &path, within)
-            .await
-            .map_err(|_| ListError::Failed)?;
+        let ans =
+            plain_call(addr, Method::GET, &path, within).await.map_err(|_| ListError::Failed)?;
         match ans.status {
             200 => {}
             429 => return Err(ListError::Rate),
--- a/crates/request-proxy/src/app/feed.rs
+++ b/crates/request-proxy/src/app/feed.rs
@@ -51,7 +51,11 @@
                     let live = Live {
                         serial: *serial,
                         ways: WayTable::new(&cfg),
-                        services: cfg.services.iter().map(|s| (s.name.clone(), s.clone())).collect(),
+                        services: cfg
+                            .services
+                            .iter()
+                            .map(|s| (s.name.clone(), s.clone()))
+                            .collect(),
                         header_bytes: cfg.limits.header_bytes,
                         body_bytes: cfg.limits.body_bytes,
                         idle_time: cfg.limits.idle_time,
--- a/crates/request-proxy/src/door/serve.rs
+++ b/crates/request-proxy/src/door/serve.rs
@@ -34,7 +34,11 @@
 }
 
 /// Takes connections until the life says no more, then ends each in order and waits for all.
-pub async fn serve_front(listener: TcpListener, app: Arc<App>, mut life: watch::Receiver<LifeState>) {
+pub async fn serve_front(
+    listener: TcpListener,
+    app: Arc<App>,
+    mut life: watch::Receiver<LifeState>,
+) {
     // Descriptors: one for each client here, the rest for engines, stores and the agent.
     let most = (app.env.limits.descriptors.saturating_sub(400) / 2).max(64) as usize;
     let room = Arc::new(Semaphore::new(most));
--- a/crates/request-proxy/src/flow/mod.rs
+++ b/crates/request-proxy/src/flow/mod.rs
@@ -32,9 +32,10 @@
 
     /// 0 to 9: by the way's priority, more urgent when the program runs short of time.
     pub fn urgency(&self) -> u8 {
-        let short = self.head.finish.is_some_and(|f| {
-            f.saturating_sub(self.began.elapsed()) < Duration::from_millis(1500)
-        });
+        let short = self
+            .head
+            .finish
+            .is_some_and(|f| f.saturating_sub(self.began.elapsed()) < Duration::from_millis(1500));
         let base = self.way.priority.saturating_mul(2).min(8);
         if short {
             base
@@ -71,16 +72,8 @@
         Err(a) => return a.into_response(id),
     };
     let service: Arc<str> = way.elect_service(fastrand::f64()).into();
-    let job = Job {
-        app,
-        live: &live,
-        way: &way,
-        service,
-        parts: &parts,
-        head: &head,
-        began,
-        until,
-    };
+    let job =
+        Job { app, live: &live, way: &way, service, parts: &parts, head: &head, began, until };
     let res = match way.kind {
         WayKind::Streaming => turn::run(&job, body).await,
         _ => plain::run(&job, body).await,
--- a/crates/request-proxy/src/flow/plain.rs
+++ b/crates/request-proxy/src/flow/plain.rs
@@ -55,7 +55,11 @@
                         }
                         let failed = head.status.is_server_error();
                         sends += 1;
-                        if failed && repeatable && sends < job.way.most_sends && !job.left().is_zero() {
+                        if failed
+                            && repeatable
+                            && sends < job.way.most_sends
+                            && !job.left().is_zero()
+                        {
                             tried.push(g.key);
                             lost = Some("the engine failed");
                             continue;
--- a/crates/request-proxy/src/sending/judge.rs
+++ b/crates/request-proxy/src/sending/judge.rs
@@ -58,11 +58,23 @@
             (503, vec![not_run, len], Verdict::NotRun),
             (429, vec![id, not_run, len], Verdict::NotRun),
             (421, vec![len], Verdict::Elsewhere),
-            (503, vec![(names::REQUEST_ID, "b2"), not_run], Verdict::Spoiled("an answer to another request")),
-            (200, vec![(names::REQUEST_ID, "b2"), stamp, len], Verdict::Spoiled("an answer to another request")),
+            (
+                503,
+                vec![(names::REQUEST_ID, "b2"), not_run],
+                Verdict::Spoiled("an answer to another request"),
+            ),
+            (
+                200,
+                vec![(names::REQUEST_ID, "b2"), stamp, len],
+                Verdict::Spoiled("an answer to another request"),
+            ),
             (200, vec![stamp, len], Verdict::Spoiled("an answer without the request's id")),
             (200, vec![id, len], Verdict::Spoiled("a success without a stamp")),
-            (200, vec![id, stamp, len, ("content-encoding", "gzip")], Verdict::Spoiled("an encoded answer")),
+            (
+                200,
+                vec![id, stamp, len, ("content-encoding", "gzip")],
+                Verdict::Spoiled("an encoded answer"),
+            ),
             (200, vec![id, stamp], Verdict::Spoiled("an answer whose end can't be known")),
         ];
         for (status, headers, want) in rows {
--- a/crates/request-proxy/src/sending/pool.rs
+++ b/crates/request-proxy/src/sending/pool.rs
@@ -33,10 +33,7 @@
 
 impl Pool {
     pub fn new() -> Self {
-        Pool {
-            rows: Mutex::new(HashMap::new()),
-            quiet: Mutex::new(Duration::from_secs(4)),
-        }
+        Pool { rows: Mutex::new(HashMap::new()), quiet: Mutex::new(Duration::from_secs(4)) }
     }
 
     pub fn take_idle(&self, key: EngineKey) -> Option<Lease> {
--- a/crates/request-proxy/src/turns/open.rs
+++ b/crates/request-proxy/src/turns/open.rs
@@ -165,7 +165,11 @@
     fn reply(ledger: &[(u64, u32, bool)], held: Held, turns: &[&str]) -> OpenReply {
         let ledger = ledger
             .iter()
-            .map(|(req, tokens, settled)| LedgerEntry { req: *req, tokens: *tokens, settled: *settled })
+            .map(|(req, tokens, settled)| LedgerEntry {
+                req: *req,
+                tokens: *tokens,
+                settled: *settled,
+            })
             .collect();
         let turns = turns
             .iter()
--- a/crates/session-index/src/index/mod.rs
+++ b/crates/session-index/src/index/mod.rs
@@ -147,7 +147,14 @@
         self.lines.insert(name, Line { at, blocks: hashes, until, active });
     }
 
-    fn touch(&mut self, session: &Arc<str>, at: EngineKey, b: &Block, now: Duration, ttl: Duration) {
+    fn touch(
+        &mut self,
+        session: &Arc<str>,
+        at: EngineKey,
+        b: &Block,
+        now: Duration,
+        ttl: Duration,
+    ) {
         let list = self.records.entry(b.hash).or_default();
         match list.iter_mut().find(|r| r.storage_location == at) {
             Some(r) => {
--- a/crates/session-index/src/index/tests.rs
+++ b/crates/session-index/src/index/tests.rs
@@ -86,7 +86,8 @@
 fn references_and_sums_hold_under_any_order() {
     for seed in 0..150u64 {
         arbtest::arbtest(|u| {
-            let mut ix = CacheIndex::new(IndexTuning { most_records: 30, ..IndexTuning::default() });
+            let mut ix =
+                CacheIndex::new(IndexTuning { most_records: 30, ..IndexTuning::default() });
             let mut now = 0;
             for _ in 0..u.int_in_range(1..=60)? {
                 now += u.int_in_range(0..=20)?;
--- a/crates/session-index/src/scheduler/elect.rs
+++ b/crates/session-index/src/scheduler/elect.rs
@@ -16,11 +16,7 @@
             true => self.index.look_up(&ask.blocks, now),
             false => Vec::new(),
         };
-        let holder = ask
-            .session
-            .as_ref()
-            .and_then(|s| self.index.holder_of(s))
-            .or(ask.told_holder);
+        let holder = ask.session.as_ref().and_then(|s| self.index.holder_of(s)).or(ask.told_holder);
         let held = |k: EngineKey| hits.iter().find(|(x, _)| *x == k).map_or(0, |(_, n)| *n);
         let mut best: Option<(f64, &EngineRow, u32)> = None;
         for e in self.engines.of_service(&ask.service) {
@@ -34,7 +30,8 @@
                 let before = ask.blocks.len().checked_sub(2).map_or(0, |i| ask.blocks[i].end);
                 hit = hit.max(before);
             }
-            let cost = self.cost(e, ask, hit, now) - if holder == Some(e.key) && hit > 0 { STAY_MS } else { 0.0 };
+            let cost = self.cost(e, ask, hit, now)
+                - if holder == Some(e.key) && hit > 0 { STAY_MS } else { 0.0 };
             let better = match &best {
                 None => true,
                 Some((c, _, _)) => cost < *c - 1e-9,
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -1,9 +1,9 @@
 //! The scheduler: for every turn it asks the index, for every call it weighs the engines; what can't
 //! run now waits by priority and slack, and what can't be met is shed at once.
 mod elect;
-mod waitlist;
 #[cfg(test)]
 mod tests;
+mod waitlist;
 
 use crate::prelude::*;
 use waitlist::Waitlist;
--- a/crates/turn-store/src/lib.rs
+++ b/crates/turn-store/src/lib.rs
@@ -10,9 +10,8 @@
 
 pub async fn run_store(env: NodeEnv) -> NodeResult<()> {
     let addr = env.own_addr(STORE_PORT);
-    let listener = TcpListener::bind(&addr)
-        .await
-        .map_err(|e| NodeError::Io { what: addr, source: e })?;
+    let listener =
+        TcpListener::bind(&addr).await.map_err(|e| NodeError::Io { what: addr, source: e })?;
     let (store, status) = owner::start(&env)?;
     let (tx, mut rx) = mpsc::channel(64);
     let follow = FollowEnv {
--- a/crates/turn-store/src/owner/work.rs
+++ b/crates/turn-store/src/owner/work.rs
@@ -11,7 +11,11 @@
     /// A filling came to its end under this serial.
     Filled(u64),
     /// Copies were taken by others under this serial: they are now listed so.
-    Pushed { serial: u64, records: Vec<TurnRecord>, all: bool },
+    Pushed {
+        serial: u64,
+        records: Vec<TurnRecord>,
+        all: bool,
+    },
 }
 
 #[derive(Clone)]
--- a/crates/turn-store/src/repair/mod.rs
+++ b/crates/turn-store/src/repair/mod.rs
@@ -21,9 +21,10 @@
         if keep.len() >= 2 {
             continue;
         }
-        let first = keep.first().copied().or_else(|| {
-            r.copies.iter().copied().find(|id| set.find(*id).is_some())
-        });
+        let first = keep
+            .first()
+            .copied()
+            .or_else(|| r.copies.iter().copied().find(|id| set.find(*id).is_some()));
         if first.is_some_and(|id| id != me) {
             continue;
         }
@@ -32,9 +33,7 @@
         let free = || set.stores.iter().filter(|e| stays(e.id) && !keep.contains(&e.id));
         let rank = rank_by_rendezvous(fnv64(r.program.as_bytes()), free().map(|e| e.id));
         let need = 2 - keep.len();
-        let apart = |id: &&u64| {
-            set.find(**id).is_some_and(|e| !areas.contains(&e.area.as_str()))
-        };
+        let apart = |id: &&u64| set.find(**id).is_some_and(|e| !areas.contains(&e.area.as_str()));
         let mut to: Vec<u64> = rank.iter().filter(apart).take(need).copied().collect();
         for id in &rank {
             if to.len() < need && !to.contains(id) {
--- a/crates/turn-store/src/tables/mod.rs
+++ b/crates/turn-store/src/tables/mod.rs
@@ -37,12 +37,7 @@
 
 impl StoreTables {
     pub fn new(me: u64) -> Self {
-        StoreTables {
-            me,
-            set: StoreSet::default(),
-            turns: HashMap::new(),
-            ledger: BTreeMap::new(),
-        }
+        StoreTables { me, set: StoreSet::default(), turns: HashMap::new(), ledger: BTreeMap::new() }
     }
 
     pub fn counts(&self) -> (usize, usize) {
@@ -92,7 +87,13 @@
     }
 
     /// Answers a call; what it changed is pushed to `log` and must be synced before the answer goes.
-    pub fn call(&mut self, q: StoreCall, sure: bool, now: Duration, log: &mut Vec<Logged>) -> StoreReply {
+    pub fn call(
+        &mut self,
+        q: StoreCall,
+        sure: bool,
+        now: Duration,
+        log: &mut Vec<Logged>,
+    ) -> StoreReply {
         match q {
             StoreCall::Open(o) => {
                 if !sure {
@@ -105,7 +106,8 @@
                 if o.most > 0 && self.enter(o.program.clone(), entry, now) {
                     log.push(Logged::Ledger { program: o.program.clone(), entry });
                 }
-                let ledger = self.ledger.get(&o.program).map_or_else(Vec::new, |p| p.entries.clone());
+                let ledger =
+                    self.ledger.get(&o.program).map_or_else(Vec::new, |p| p.entries.clone());
                 let (held, turns) = match &o.prev {
                     None => (Held::No, Vec::new()),
                     Some(id) => self.chain(id, o.want, now),
@@ -160,9 +162,8 @@
                     .take(LEDGER_PAGE)
                     .map(|(k, p)| (k.clone(), p.entries.clone()))
                     .collect();
-                let more = (rows.len() == LEDGER_PAGE)
-                    .then(|| rows.last().map(|r| r.0.clone()))
-                    .flatten();
+                let more =
+                    (rows.len() == LEDGER_PAGE).then(|| rows.last().map(|r| r.0.clone())).flatten();
                 StoreReply::Ledger { rows, more }
             }
             StoreCall::Tell => StoreReply::Told {
@@ -187,7 +188,9 @@
         let mut ids = row.record.chain.clone();
         ids.push(id.to_string());
         let turns = match want {
-            true => ids.iter().filter_map(|i| self.turns.get(i)).map(|r| r.record.clone()).collect(),
+            true => {
+                ids.iter().filter_map(|i| self.turns.get(i)).map(|r| r.record.clone()).collect()
+            }
             false => Vec::new(),
         };
         (Held::Yes(ids), turns)
@@ -311,11 +314,14 @@
                 for l in log {
                     again.take(l, now);
                 }
-                let rows = |t: &mut StoreTables| {
-                    match t.call(StoreCall::Ledger { serial: 0, after: None }, true, now, &mut Vec::new()) {
-                        StoreReply::Ledger { rows, .. } => rows,
-                        _ => Vec::new(),
-                    }
+                let rows = |t: &mut StoreTables| match t.call(
+                    StoreCall::Ledger { serial: 0, after: None },
+                    true,
+                    now,
+                    &mut Vec::new(),
+                ) {
+                    StoreReply::Ledger { rows, .. } => rows,
+                    _ => Vec::new(),
                 };
                 let mine = rows(&mut t);
                 assert_eq!(mine, rows(&mut again));
