--- a/crates/agreement/src/core/machine.rs
+++ b/crates/agreement/src/core/machine.rs
@@ -16,6 +16,10 @@
     pub beat: Duration,
     pub election_low: Duration,
     pub election_high: Duration,
+    /// The first wait after a start: when all begin together nobody has heard a leader, and a leader
+    /// that lives is protected by the question asked before an election.
+    pub first_low: Duration,
+    pub first_high: Duration,
     pub most_batch: usize,
 }
 
@@ -25,6 +29,8 @@
             beat: Duration::from_millis(110),
             election_low: Duration::from_millis(400),
             election_high: Duration::from_millis(700),
+            first_low: Duration::from_millis(120),
+            first_high: Duration::from_millis(360),
             most_batch: 6 << 20,
         }
     }
@@ -121,7 +127,8 @@
             seed,
             out: Vec::new(),
         };
-        a.rest(Duration::ZERO);
+        let c = a.chance();
+        a.deadline = a.tuning.first_low + (a.tuning.first_high - a.tuning.first_low).mul_f64(c);
         a
     }
 
--- a/crates/feed-follow/src/link/mod.rs
+++ b/crates/feed-follow/src/link/mod.rs
@@ -41,7 +41,7 @@
     let mut cells: (u64, Vec<String>) = (0, env.seeds.clone());
     let mut turn = 0usize;
     let mut place = (0u64, 0u64);
-    let mut pause = Backoff::new(Duration::from_millis(50), Duration::from_millis(400));
+    let mut pause = Backoff::new(Duration::from_millis(40), Duration::from_millis(160));
     let mut feed = Feed.uninitialized_state_machine().init();
     while !out.is_closed() {
         // Rendezvous ranks the cells for this node; those tried in vain go to the end of the row.
--- a/crates/request-proxy/src/app/mod.rs
+++ b/crates/request-proxy/src/app/mod.rs
@@ -81,6 +81,17 @@
         }
     }
 
+    /// Waits until requests may be taken; false when that takes too long.
+    pub async fn taken_up(&self, until: Instant) -> bool {
+        let out = locked(&self.life_out).as_ref().map(watch::Sender::subscribe);
+        let Some(mut life) = out else {
+            return false;
+        };
+        let taken = life.wait_for(LifeState::takes);
+        let got = tokio::time::timeout_at(until.into(), taken).await;
+        matches!(got, Ok(Ok(_)))
+    }
+
     /// Ends a grant and hands what becomes free to those that wait.
     pub fn end_grant(&self, g: &Grant, was_read: bool) {
         let next = locked(&self.sched).end(g, was_read, self.now());
--- a/crates/request-proxy/src/flow/mod.rs
+++ b/crates/request-proxy/src/flow/mod.rs
@@ -48,11 +48,14 @@
 /// Kept of the client's time for the way back.
 const WAY_BACK: Duration = Duration::from_millis(15);
 
+/// A request that comes while the proxy starts waits for the snapshot, which is a matter of moments.
+const START_WAIT: Duration = Duration::from_millis(1500);
+
 pub async fn serve(app: &Arc<App>, req: Request<Incoming>) -> Response<ProxyBody> {
     let began = Instant::now();
     let (parts, body) = req.into_parts();
     let id = parts.headers.get(names::REQUEST_ID).and_then(|v| v.to_str().ok());
-    if !app.life().takes() {
+    if !app.life().takes() && !app.taken_up(began + START_WAIT).await {
         return OwnAnswer::shed(300, "not ready yet").into_response(id);
     }
     let head = match Head::read(&parts) {
--- a/crates/request-proxy/src/flow/turn.rs
+++ b/crates/request-proxy/src/flow/turn.rs
@@ -45,7 +45,7 @@
             req,
             armed: true,
         });
-        opened = match job.app.bank.open(ask).await {
+        opened = match job.app.bank.open(ask, Instant::now() + job.left() / 2).await {
             Ok(o) => o,
             Err(f) => {
                 if let Some(r) = &mut reserved {
--- a/crates/request-proxy/src/turns/bank.rs
+++ b/crates/request-proxy/src/turns/bank.rs
@@ -36,6 +36,7 @@
 
 const CALL: Duration = Duration::from_millis(900);
 const OPEN: Duration = Duration::from_millis(1600);
+const AGAIN: Duration = Duration::from_millis(70);
 const KEEP: Duration = Duration::from_millis(350);
 const SUSPECT: Duration = Duration::from_millis(800);
 
@@ -92,23 +93,30 @@
         row
     }
 
-    /// Reserves the turn's most tokens on a majority and brings the chain it goes on from.
-    pub async fn open(&self, ask: OpenAsk<'_>) -> Result<Opened, OpenFault> {
-        for _ in 0..4 {
+    /// Reserves the turn's most tokens on a majority and brings the chain it goes on from. While too
+    /// few stores answer it asks again, until `until`.
+    pub async fn open(&self, ask: OpenAsk<'_>, until: Instant) -> Result<Opened, OpenFault> {
+        let end = until.min(Instant::now() + OPEN);
+        loop {
             let set = self.set();
-            if set.counted().next().is_none() {
-                return Err(OpenFault::Unsure);
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
             }
-            match tokio::time::timeout(OPEN, self.open_under(&set, &ask)).await {
-                Ok(Ok(Some(o))) => return Ok(o),
-                // A store works under a newer set, which has been learnt.
-                Ok(Ok(None)) => {}
-                Ok(Err(f)) => {
-                    self.release(ask.program, ask.req);
-                    return Err(f);
+            if set.counted().next().is_some() {
+                match tokio::time::timeout(left, self.open_under(&set, &ask)).await {
+                    Ok(Ok(Some(o))) => return Ok(o),
+                    // A store works under a newer set, which has been learnt.
+                    Ok(Ok(None)) => continue,
+                    Ok(Err(OpenFault::Unsure)) => {}
+                    Ok(Err(f)) => {
+                        self.release(ask.program, ask.req);
+                        return Err(f);
+                    }
+                    Err(_) => break,
                 }
-                Err(_) => break,
             }
+            tokio::time::sleep(AGAIN).await;
         }
         self.release(ask.program, ask.req);
         Err(OpenFault::Unsure)
