--- a/crates/request-proxy/src/flow/mod.rs
+++ b/crates/request-proxy/src/flow/mod.rs
@@ -13,7 +13,7 @@
     pub live: &'a Live,
     pub way: &'a WayEnv,
     pub service: Arc<str>,
-    pub parts: &'a RequestParts,
+    pub parts: &'a Arc<RequestParts>,
     pub head: &'a Head<'a>,
     pub began: Instant,
     pub until: Instant,
@@ -54,6 +54,7 @@
 pub async fn serve(app: &Arc<App>, req: Request<Incoming>) -> Response<ProxyBody> {
     let began = Instant::now();
     let (parts, body) = req.into_parts();
+    let parts = Arc::new(parts);
     let id = parts.headers.get(names::REQUEST_ID).and_then(|v| v.to_str().ok());
     if !app.life().takes() && !app.taken_up(began + START_WAIT).await {
         return OwnAnswer::shed(300, "not ready yet").into_response(id);
@@ -83,7 +84,13 @@
     };
     match res {
         Ok(r) => r,
-        Err(a) => a.into_response(id),
+        Err(a) => {
+            if matches!(a, OwnAnswer::Shed { .. } | OwnAnswer::Lost(_) | OwnAnswer::Late) {
+                let ms = began.elapsed().as_millis() as u64;
+                info!("own answer: {:?}", a, kv: { request = head.request_id, way = way.name, after_ms = ms });
+            }
+            a.into_response(id)
+        }
     }
 }
 
--- a/crates/request-proxy/src/relay/body.rs
+++ b/crates/request-proxy/src/relay/body.rs
@@ -70,7 +70,7 @@
                         if kept {
                             return Poll::Ready(None);
                         }
-                        warn!("turn not kept: {}", self.end.request_id);
+                        warn!("turn not kept", kv: { request = self.end.request_id });
                         return Poll::Ready(Some(Err(())));
                     }
                 },
@@ -131,6 +131,7 @@
     }
 
     fn broke_off(&mut self) -> Poll<Option<Result<Bytes, ()>>> {
+        info!("stream broke off", kv: { request = self.end.request_id, events = self.reader.events });
         self.drop_all();
         self.stage = Stage::Over;
         Poll::Ready(Some(Err(())))
