Opens ask a majority first; cold elections ask again sooner; own area preferred more

Cause: bytes between zones are the largest price. Ruled out: engine traffic as the main part; second copies of turns are.

--- a/crates/agreement/src/core/machine.rs
+++ b/crates/agreement/src/core/machine.rs
@@ -186,9 +186,13 @@
     }
 
     pub(super) fn rest(&mut self, now: Duration) {
-        let span = self.tuning.election_high - self.tuning.election_low;
+        // Until a leader was heard once since the start, nobody is disturbed by asking soon again.
+        let (low, high) = match self.heard_leader {
+            None if !self.leads() => (self.tuning.first_low, self.tuning.first_high),
+            _ => (self.tuning.election_low, self.tuning.election_high),
+        };
         let c = self.chance();
-        self.deadline = now + self.tuning.election_low + span.mul_f64(c);
+        self.deadline = now + low + (high - low).mul_f64(c);
     }
 
     pub(super) fn go(&mut self, ev: RoleEvent) {
--- a/crates/request-proxy/src/turns/bank.rs
+++ b/crates/request-proxy/src/turns/bank.rs
@@ -38,6 +38,8 @@
 const OPEN: Duration = Duration::from_millis(1600);
 const AGAIN: Duration = Duration::from_millis(70);
 const KEEP: Duration = Duration::from_millis(350);
+/// A majority that hasn't answered by then is helped by the other stores.
+const SLOW: Duration = Duration::from_millis(30);
 const SUSPECT: Duration = Duration::from_millis(800);
 
 impl StoreLink {
@@ -128,8 +130,7 @@
         ask: &OpenAsk<'_>,
     ) -> Result<Option<Opened>, OpenFault> {
         let row = self.row(set, ask.program);
-        let mut work = FuturesUnordered::new();
-        for (i, e) in row.iter().enumerate() {
+        let call = |i: usize, e: &StoreEntry| {
             let q = encode(&StoreCall::Open(OpenCall {
                 serial: set.serial,
                 program: ask.program.to_string(),
@@ -140,8 +141,17 @@
             }));
             let link = self.link(&e.addr);
             let id = e.id;
-            work.push(async move { (id, link.call(q, CALL).await) });
+            async move { (id, link.call(q, CALL).await) }
+        };
+        // A majority is asked first, the nearest of it to bring the chain; the others only when one
+        // of these fails, is slow, or doesn't know the turn.
+        let mut work = FuturesUnordered::new();
+        let mut rest: VecDeque<(usize, &StoreEntry)> = row.iter().copied().enumerate().collect();
+        for (i, e) in rest.drain(..set.majority().min(row.len())) {
+            work.push(call(i, e));
         }
+        let slow = tokio::time::sleep(SLOW);
+        tokio::pin!(slow);
         let ids: Vec<u64> = row.iter().map(|e| e.id).collect();
         let mut asked = vec![ids[0]];
         let mut ledger = OpenLedger::new(set, ask.req, ask.previous.is_some());
@@ -167,14 +177,22 @@
                 }
                 OpenStep::Wait => {}
             }
-            match work.next().await {
+            let next = tokio::select! {
+                r = work.next() => r,
+                _ = slow.as_mut(), if !rest.is_empty() => None,
+            };
+            match next {
                 Some((id, Ok(StoreReply::Open(r)))) => ledger.take(id, r),
                 Some((_, Ok(StoreReply::Stale(newer)))) => {
                     self.learn(newer);
                     return Ok(None);
                 }
-                Some(_) => ledger.fail(),
-                None => return Err(OpenFault::Unsure),
+                Some(_) => {
+                    ledger.fail();
+                    work.extend(rest.drain(..).map(|(i, e)| call(i, e)));
+                }
+                None if rest.is_empty() => return Err(OpenFault::Unsure),
+                None => work.extend(rest.drain(..).map(|(i, e)| call(i, e))),
             }
         }
         if let Some(a) = ask.allowance {
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -80,7 +80,7 @@
 
 impl Default for SchedulerTuning {
     fn default() -> Self {
-        SchedulerTuning { area: String::new(), far_ms: 12.0, most_waiting: 2000, plain_depth: 2.0 }
+        SchedulerTuning { area: String::new(), far_ms: 25.0, most_waiting: 2000, plain_depth: 2.0 }
     }
 }
 
