A closing proxy still serves what the entry sends

Cause: in areas of two, both rolled within 1.5 s, the entry falls back to all nodes and met a closed listener.

--- a/crates/feed-agent/src/keep/mod.rs
+++ b/crates/feed-agent/src/keep/mod.rs
@@ -8,7 +8,7 @@
 pub struct Keeper {
     pub view: FeedView,
     pub no: u64,
-    proxies: Vec<mpsc::Sender<Vec<Numbered>>>,
+    pub proxies: Vec<mpsc::Sender<Vec<Numbered>>>,
 }
 
 impl Keeper {
@@ -36,10 +36,25 @@
     }
 }
 
-pub async fn keep(mut news: mpsc::Receiver<News>, mut opens: mpsc::Receiver<Opened>) {
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Keeps the view until `leaving` says so and no proxy is left to feed.
+pub async fn keep(
+    mut news: mpsc::Receiver<News>,
+    mut opens: mpsc::Receiver<Opened>,
+    leaving: watch::Receiver<bool>,
+) {
     let mut k = Keeper::default();
     loop {
+        let left = *leaving.borrow();
+        if left {
+            k.proxies.retain(|p| !p.is_closed());
+            if k.proxies.is_empty() {
+                return;
+            }
+        }
         tokio::select! {
+            _ = tokio::time::sleep(LOOK), if left => {}
             n = news.recv() => match n {
                 Some(News::Items(items)) => k.take(items),
                 Some(News::Down) => {}
--- a/crates/feed-agent/src/lib.rs
+++ b/crates/feed-agent/src/lib.rs
@@ -23,13 +23,16 @@
     tokio::spawn(serve::serve_proxy(listener, open));
     let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
         .map_err(|e| NodeError::Io { what: "SIGTERM".into(), source: e })?;
-    tokio::select! {
-        _ = keep::keep(rx, opens) => {}
-        // The proxy beside it may still finish its answers: news keep coming until its grace ends.
-        _ = async {
-            term.recv().await;
-            tokio::time::sleep(env.bounds.grace.saturating_sub(Duration::from_millis(1500))).await;
-        } => {}
-    }
+    let (leave, leaving) = watch::channel(false);
+    let grace = env.bounds.grace;
+    tokio::spawn(async move {
+        term.recv().await;
+        // The proxy beside it gets the same signal and finishes its answers: news keep coming until
+        // it has gone.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let _ = leave.send(true);
+        tokio::time::sleep(grace).await;
+    });
+    keep::keep(rx, opens, leaving).await;
     Ok(())
 }
--- a/crates/request-proxy/src/door/serve.rs
+++ b/crates/request-proxy/src/door/serve.rs
@@ -33,7 +33,8 @@
     }
 }
 
-/// Takes connections until the life says no more, then ends each in order and waits for all.
+/// Takes connections until the life ends. While it is closing, whatever the entry still sends is
+/// served, one answer a connection; it ends once nothing has been under way for a moment.
 pub async fn serve_front(
     listener: TcpListener,
     app: Arc<App>,
@@ -42,37 +43,49 @@
     // Descriptors: one for each client here, the rest for engines, stores and the agent.
     let most = (app.env.limits.descriptors.saturating_sub(400) / 2).max(64) as usize;
     let room = Arc::new(Semaphore::new(most));
-    let (gone, mut all_gone) = mpsc::channel::<()>(1);
+    let mut calm = 0;
     loop {
+        let now = life.borrow_and_update().clone();
         let next = tokio::select! {
             r = life.changed() => {
-                if r.is_err() || !life.borrow_and_update().listens() {
-                    break;
+                if r.is_err() {
+                    return;
                 }
                 continue;
             }
             s = accept_one(&listener, &room) => s,
+            _ = tokio::time::sleep(LOOK), if !now.listens() => {
+                let idle = room.available_permits() == most;
+                calm = if idle { calm + 1 } else { 0 };
+                if calm >= CALM_LOOKS || matches!(now, LifeState::Ended {}) {
+                    return;
+                }
+                continue;
+            }
         };
         let Some((s, place)) = next else { continue };
         tune_stream(&s, QUIET);
-        let (app, life, gone) = (app.clone(), life.clone(), gone.clone());
+        let (app, life) = (app.clone(), life.clone());
         tokio::spawn(async move {
             serve_client(s, app, life).await;
-            drop((place, gone));
+            drop(place);
         });
     }
-    drop(listener);
-    drop(gone);
-    let _ = all_gone.recv().await;
 }
 
+const LOOK: Duration = Duration::from_millis(40);
+const CALM_LOOKS: u32 = 4;
+
 async fn accept_one(
     listener: &TcpListener,
     room: &Arc<Semaphore>,
 ) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
-    let place = room.clone().acquire_owned().await.ok()?;
+    if room.available_permits() == 0 {
+        // Full: the next is taken when one has gone.
+        drop(room.acquire().await.ok()?);
+    }
     match listener.accept().await {
-        Ok((s, _)) => Some((s, place)),
+        Ok((s, _)) => Some((s, room.clone().try_acquire_owned().ok()?)),
         Err(_) => {
             tokio::time::sleep(Duration::from_millis(20)).await;
             None
@@ -102,6 +115,11 @@
         .max_buf_size((head_bytes + 4096).max(16 << 10))
         .serve_connection(TokioIo::new(s), svc);
     tokio::pin!(conn);
+    // One taken while the proxy is closing has its answer first.
+    if !life.borrow_and_update().listens() {
+        let _ = conn.await;
+        return;
+    }
     loop {
         tokio::select! {
             _ = conn.as_mut() => return,
--- a/crates/request-proxy/src/flow/plain.rs
+++ b/crates/request-proxy/src/flow/plain.rs
@@ -10,7 +10,10 @@
 /// What one send came to.
 enum Came {
     Answer(Response<ProxyBody>),
-    NotRun { reached: bool, elsewhere: bool },
+    NotRun {
+        reached: bool,
+        elsewhere: bool,
+    },
     /// It may have run; there is no answer.
     Lost(&'static str),
     Late,
@@ -32,9 +35,16 @@
     async fn run(self, held: Held, g: Grant) -> (EngineKey, Came) {
         let app = self.app;
         let at = Instant::now();
-        let out =
-            send_once(&app, &g, &self.parts, &self.body, &self.request_id, self.until, self.urgency)
-                .await;
+        let out = send_once(
+            &app,
+            &g,
+            &self.parts,
+            &self.body,
+            &self.request_id,
+            self.until,
+            self.urgency,
+        )
+        .await;
         let came = match out {
             SendOutcome::Answer(res, lease) => {
                 let ka = keep_alive(res.headers());
--- a/crates/request-proxy/src/life/machine.rs
+++ b/crates/request-proxy/src/life/machine.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    /// Takes nothing new; finishes what is under way.
+    /// Idle connections are closed and what is under way is finished; what still comes is served.
     #[state]
     pub fn closing(event: &LifeEvent) -> Response<State> {
         match event {
@@ -81,6 +81,7 @@
         !matches!(self, State::Starting {} | State::Serving {})
     }
 
+    /// Connections are kept for more than what is under way.
     pub fn listens(&self) -> bool {
         !matches!(self, State::Closing {} | State::Ended {})
     }
--- a/crates/request-proxy/src/life/mod.rs
+++ b/crates/request-proxy/src/life/mod.rs
@@ -10,8 +10,8 @@
 /// Kept of the grace so that the process ends before it is ended.
 const RESERVE: Duration = Duration::from_millis(500);
 
-/// Unready at once; takes what the entry still sends; then takes no more, closes idle connections in
-/// order and finishes every answer under way.
+/// Unready at once; takes what the entry still sends; then closes idle connections in order, finishes
+/// every answer under way and ends when nothing more comes.
 pub async fn end_in_order(app: &Arc<App>, serving: tokio::task::JoinHandle<()>, grace: Duration) {
     let began = Instant::now();
     app.live_on(LifeEvent::Term);
