--- a/crates/feed-agent/src/keep/mod.rs
+++ b/crates/feed-agent/src/keep/mod.rs
@@ -42,7 +42,7 @@
 pub async fn keep(
     mut news: mpsc::Receiver<News>,
     mut opens: mpsc::Receiver<Opened>,
-    leaving: watch::Receiver<bool>,
+    mut leaving: watch::Receiver<bool>,
 ) {
     let mut k = Keeper::default();
     loop {
@@ -55,6 +55,11 @@
         }
         tokio::select! {
             _ = tokio::time::sleep(LOOK), if left => {}
+            r = leaving.changed(), if !left => {
+                if r.is_err() {
+                    return;
+                }
+            }
             n = news.recv() => match n {
                 Some(News::Items(items)) => k.take(items),
                 Some(News::Down) => {}
--- /dev/null
+++ b/crates/stand-ins/src/prelude.rs
@@ -0,0 +1,11 @@
+//! The one module every file of this package imports.
+pub use crate::client::{call, Answered};
+pub use crate::engine::{Engine, Mood, Ran};
+pub use crate::platform::serve_platform;
+pub use http_body_util::{BodyExt, Full, StreamBody};
+pub use hyper::body::{Frame, Incoming};
+pub use hyper::{Method, Request, Response, StatusCode};
+pub use hyper_util::rt::TokioIo;
+pub use node_base::prelude::*;
+pub use outer_calls::names;
+pub use std::convert::Infallible;
--- /dev/null
+++ b/crates/stand-ins/tests/whole_path.rs
@@ -0,0 +1,249 @@
+//! The whole path over real sockets: a cell, three stores, an agent and a proxy, against stand-ins of
+//! the engines, the platform's list, the operator and clients.
+use stand_ins::prelude::*;
+
+const PORTS: u16 = 27_380;
+
+fn env(
+    name: &str,
+    class: &str,
+    ip: &str,
+    area: &str,
+    dir: &std::path::Path,
+    cloud: SocketAddr,
+) -> NodeEnv {
+    let mut listen = String::new();
+    if class == "front" {
+        listen = format!("front = \"{ip}:28149\"\nreadiness = \"{ip}:28141\"\n");
+    } else if class == "core" {
+        listen = format!("control = \"{ip}:28144\"\n");
+    }
+    let data = dir.join(name);
+    let text = format!(
+        "nodeName = \"{name}\"\nmachineClass = \"{class}\"\nipAddress = \"{ip}\"\nzone = \"{area}\"\n\
+         internalPortRange = [{PORTS},{}]\nseedAddresses = [\"127.0.9.1:28144\"]\nfirstStart = true\n\
+         dataDirectory = \"{}\"\n[zones]\na = \"r\"\nb = \"r\"\nc = \"r\"\n[listenAddresses]\n{listen}\
+         [limits]\nmemoryMb = 256\nfileDescriptors = 2000\ndiskMb = 64\n\
+         [cloudApi]\naddress = \"{cloud}\"\nratePerS = 40.0\nlagMs = 10\n",
+        PORTS + 15,
+        data.display()
+    );
+    let file = dir.join(format!("{name}.toml"));
+    std::fs::write(&file, text).unwrap();
+    node_base::env::read_env(&file.display().to_string()).unwrap()
+}
+
+fn config(serial: u64, extra: bool) -> String {
+    let mut ways = vec![
+        serde_json::json!({"name": "turns", "hostName": "h.example", "pathPrefix": "/t/",
+            "routeKind": "streaming", "timeoutMs": 6000, "targetLatencyMs": 200, "priorityLevel": 1,
+            "serviceName": "llm", "maxAttempts": 2, "retained": true, "retentionS": 60.0,
+            "stickySessions": true, "targetGapMs": 400}),
+        serde_json::json!({"name": "reads", "hostName": "h.example", "pathPrefix": "/r/",
+            "routeKind": "idempotent", "timeoutMs": 3000, "targetLatencyMs": 100, "priorityLevel": 2,
+            "serviceName": "app", "maxAttempts": 2}),
+        serde_json::json!({"name": "writes", "hostName": "h.example", "pathPrefix": "/w/",
+            "routeKind": "non_idempotent", "timeoutMs": 3000, "targetLatencyMs": 100,
+            "priorityLevel": 2, "serviceName": "app", "maxAttempts": 2}),
+    ];
+    if extra {
+        ways.push(serde_json::json!({"name": "new", "hostName": "h.example", "pathPrefix": "/n/",
+            "routeKind": "idempotent", "timeoutMs": 3000, "serviceName": "app"}));
+    }
+    serde_json::json!({"configVersion": serial, "routeTable": ways, "serviceTable": [
+        {"name": "llm", "healthPath": "/health", "connectionLimit": 64,
+         "engine": {"slotCount": 4, "cacheTokens": 100000, "eventStride": 2, "models": [{"name": "m"}]}},
+        {"name": "app", "healthPath": "/health", "connectionLimit": 64}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000}})
+    .to_string()
+}
+
+const FRONT: &str = "127.0.9.30:28149";
+const CONTROL: &str = "127.0.9.1:28144";
+
+/// Asks again until the answer is as wanted; each ask waits for an answer, none waits for time.
+async fn until(what: &str, mut ok: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !ok().await {
+        assert!(Instant::now() < end, "not in time: {what}");
+        tokio::task::yield_now().await;
+    }
+}
+
+async fn put(serial: u64, base: u64, body: &str) -> u16 {
+    let base = base.to_string();
+    let h = [("host", "c"), ("if-match", base.as_str()), ("content-type", "application/json")];
+    let _ = serial;
+    call(CONTROL, "PUT", "/config", &h, body.as_bytes()).await.map_or(0, |a| a.status)
+}
+
+async fn turn(id: &str, prev: Option<&str>, most: &str, budget: &str, body: &[u8]) -> Answered {
+    let counts = format!("{},{most}", body.len());
+    let prefix = format!("aa:{}", body.len());
+    let mut h = vec![
+        ("host", "h.example"),
+        (names::REQUEST_ID, id),
+        (names::DEADLINE, "6000"),
+        (names::MODEL, "m"),
+        (names::TOKENS, counts.as_str()),
+        (names::PREFIX, prefix.as_str()),
+        (names::PROGRAM, "prog"),
+        (names::SESSION, "line"),
+        (names::FINISH, "9000"),
+        (names::BUDGET, budget),
+    ];
+    if let Some(p) = prev {
+        h.push((names::PREVIOUS, p));
+    }
+    call(FRONT, "POST", "/t/x?q=1", &h, body).await.unwrap()
+}
+
+async fn plain(id: &str, method: &str, path: &str, body: &[u8]) -> Answered {
+    let h = [("host", "h.example"), (names::REQUEST_ID, id), (names::DEADLINE, "3000")];
+    call(FRONT, method, path, &h, body).await.unwrap()
+}
+
+async fn system(dir: &std::path::Path) -> (Engine, [Engine; 2]) {
+    let llm = Engine::start("i-llm", "127.0.9.40:0").await.unwrap();
+    let a = Engine::start("i-a", "127.0.9.41:0").await.unwrap();
+    let b = Engine::start("i-b", "127.0.9.42:0").await.unwrap();
+    let row = |s: &str, e: &Engine, area: &str| {
+        (s.to_string(), e.id.clone(), e.addr.to_string(), area.to_string(), "ready".to_string())
+    };
+    let list =
+        Arc::new(Mutex::new(vec![row("llm", &llm, "a"), row("app", &a, "a"), row("app", &b, "a")]));
+    let cloud = serve_platform("127.0.9.50:0", list).await.unwrap();
+    tokio::spawn(control_cell::run_cell(env("core-1", "core", "127.0.9.1", "a", dir, cloud)));
+    for (i, area) in ["a", "b", "c"].iter().enumerate() {
+        let ip = format!("127.0.9.{}", 10 + i);
+        tokio::spawn(turn_store::run_store(env(
+            &format!("store-{i}"),
+            "storage",
+            &ip,
+            area,
+            dir,
+            cloud,
+        )));
+    }
+    let front = env("front-1", "front", "127.0.9.30", "a", dir, cloud);
+    tokio::spawn(feed_agent::run_agent(front.clone()));
+    tokio::spawn(request_proxy::run_proxy(front));
+    (llm, [a, b])
+}
+
+#[tokio::test]
+async fn the_whole_path_keeps_its_promises() {
+    let dir = std::env::temp_dir().join(format!("spokebank-whole-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&dir);
+    std::fs::create_dir_all(&dir).unwrap();
+    let (llm, apps) = system(&dir).await;
+
+    // The operator.
+    until("the first configuration", async || put(3, 0, &config(3, false)).await == 200).await;
+    assert_eq!(put(3, 0, &config(3, false)).await, 200, "sent again unchanged");
+    assert_eq!(put(4, 0, &config(4, true)).await, 412, "built on an older one");
+    assert_eq!(put(2, 3, &config(2, true)).await, 400, "not above");
+    assert_eq!(put(5, 3, "{\"configVersion\": 5").await, 400, "cut short");
+    let bad = config(5, true).replace("\"app\",\"timeoutMs\"", "\"none\",\"timeoutMs\"");
+    assert_eq!(put(5, 3, &bad).await, 400, "an unknown service");
+    let got = call(CONTROL, "GET", "/config", &[("host", "c")], b"").await.unwrap();
+    assert_eq!((got.status, got.body), (200, config(3, false).into_bytes()));
+    for (m, p, want) in
+        [("DELETE", "/config", 405), ("GET", "/odd", 404), ("POST", "/retire/none", 404)]
+    {
+        assert_eq!(
+            call(CONTROL, m, p, &[("host", "c")], b"").await.unwrap().status,
+            want,
+            "{m} {p}"
+        );
+    }
+
+    until("readiness", async || {
+        let a = call("127.0.9.30:28141", "GET", "/readiness", &[("host", "x")], b"").await;
+        a.is_some_and(|a| a.status == 200)
+    })
+    .await;
+    until("engines and stores", async || {
+        turn("t0", None, "10", "100000", b"zero").await.status == 200
+    })
+    .await;
+
+    // Turns: the chain is put together exactly, also where a line forks.
+    let a = turn("t1", None, "10", "100000", b"one").await;
+    assert_eq!((a.status, a.whole), (200, true));
+    assert_eq!(a.headers.get(names::STAMP).unwrap(), "stamp-i-llm");
+    assert_eq!(turn("t2", Some("t1"), "10", "100000", b"two").await.status, 200);
+    assert_eq!(turn("t3", Some("t2"), "10", "100000", b"three").await.status, 200);
+    assert_eq!(turn("t4", Some("t1"), "10", "100000", b"fork").await.status, 200);
+    let said = "alpha beta\ngamma\ndelta\n";
+    let body_of = |id: &str| {
+        let r = llm.runs().into_iter().find(|r| r.request_id == id).unwrap();
+        assert_eq!(r.path, "/t/x?q=1");
+        String::from_utf8(r.body).unwrap()
+    };
+    assert_eq!(body_of("t1"), "one");
+    assert_eq!(body_of("t3"), format!("one{said}two{said}three"));
+    assert_eq!(body_of("t4"), format!("one{said}fork"));
+    assert_eq!(turn("t5", Some("nobody"), "10", "100000", b"x").await.status, 404);
+
+    // A turn that was cut isn't complete, doesn't count, and goes again under another id.
+    llm.be(Mood::Cut);
+    assert!(!turn("t6", Some("t3"), "10", "100000", b"six").await.whole);
+    assert_eq!(turn("t7", Some("t6"), "10", "100000", b"x").await.status, 404);
+    assert_eq!(turn("t8", Some("t3"), "10", "100000", b"six").await.status, 200);
+
+    // What engines do wrong.
+    llm.be(Mood::Mixed);
+    assert_eq!(turn("t9", None, "10", "100000", b"x").await.status, 502);
+    llm.be(Mood::Unstamped);
+    assert_eq!(turn("t10", None, "10", "100000", b"x").await.status, 502);
+    llm.be(Mood::Full);
+    let a = turn("t11", None, "10", "100000", b"x").await;
+    assert_eq!(a.status, 503);
+    assert!(a.headers.contains_key("retry-after"));
+    assert!(!llm.runs().iter().any(|r| r.request_id == "t11"), "a promise");
+
+    // The allowance: six whole turns of six tokens, one cut after at most two events.
+    assert_eq!(turn("t12", None, "60", "90", b"x").await.status, 402);
+    assert!(!llm.runs().iter().any(|r| r.request_id == "t12"));
+    assert_eq!(turn("t13", None, "40", "90", b"x").await.status, 200);
+
+    // Calls. What can't be repeated runs once, whatever happens to its answer.
+    assert_eq!(plain("r1", "GET", "/r/a?b=c", b"").await.status, 200);
+    assert_eq!(plain("w1", "POST", "/w/a", b"note").await.status, 200);
+    assert_eq!(plain("n1", "GET", "/n/a", b"").await.status, 404, "no way yet");
+    let runs = |id: &str| apps.iter().flat_map(|e| e.runs()).filter(|r| r.request_id == id).count();
+    for (i, mood) in [Mood::Reset, Mood::Mixed, Mood::Unstamped].into_iter().enumerate() {
+        apps.iter().for_each(|e| e.be(mood));
+        let id = format!("w-{i}");
+        assert_eq!(plain(&id, "POST", "/w/a", b"note").await.status, 502, "{mood:?}");
+        assert_eq!(runs(&id), 1, "{mood:?}");
+        // The other engine still has its mood: a repeatable call meets it and goes on.
+        assert_eq!(plain(&format!("r-{i}"), "GET", "/r/a", b"").await.status, 200, "{mood:?}");
+        apps.iter().for_each(|e| e.moods.lock().unwrap().clear());
+    }
+    apps.iter().for_each(|e| e.be(Mood::Full));
+    assert_eq!(plain("w9", "POST", "/w/a", b"note").await.status, 503);
+    assert_eq!(runs("w9"), 0);
+    apps.iter().for_each(|e| e.moods.lock().unwrap().clear());
+    // A lost answer: a second engine answers long before the deadline.
+    let began = Instant::now();
+    apps[0].be(Mood::Silent);
+    let mut left = 8;
+    while left > 0 && !apps[0].moods.lock().unwrap().is_empty() {
+        assert_eq!(plain(&format!("q{left}"), "GET", "/r/a", b"").await.status, 200);
+        left -= 1;
+    }
+    assert!(began.elapsed() < Duration::from_millis(2500));
+    // Too large, and not readable.
+    assert_eq!(plain("b1", "POST", "/w/a", &vec![1; 100_001]).await.status, 413);
+    let h = [("host", "h.example"), (names::DEADLINE, "3000")];
+    assert_eq!(call(FRONT, "GET", "/r/a", &h, b"").await.unwrap().status, 400);
+
+    // News of a configuration reaches the proxy, and old ways stay.
+    assert_eq!(put(9, 3, &config(9, true)).await, 200);
+    until("the new way", async || plain("n2", "GET", "/n/a", b"").await.status == 200).await;
+    assert_eq!(plain("r8", "GET", "/r/a", b"").await.status, 200);
+    let _ = std::fs::remove_dir_all(&dir);
+}
