--- a/crates/control-cell/src/owner/work.rs
+++ b/crates/control-cell/src/owner/work.rs
@@ -306,6 +306,10 @@
             name: self.me.name.clone(),
             term: self.agree.hard.term,
             leader: self.agree.leader.as_ref().and_then(name),
+            cells: self.agree.log.members().iter().map(|m| m.addr.clone()).collect(),
+            unix_ms: std::time::SystemTime::now()
+                .duration_since(std::time::UNIX_EPOCH)
+                .map_or(0, |d| d.as_millis() as u64),
             commit: self.agree.commit,
             applied: self.agree.applied,
             config_serial: self.state.config_serial(),
@@ -315,7 +319,7 @@
                 .stores
                 .stores
                 .iter()
-                .map(|s| (s.name.clone(), format!("{:?}", s.state)))
+                .map(|s| (s.name.clone(), format!("{:?}", s.state), s.addr.clone()))
                 .collect(),
             areas: self
                 .state
--- /dev/null
+++ b/crates/doctor/src/facts/mod.rs
@@ -0,0 +1,112 @@
+//! What was seen, with nothing made of it.
+use crate::prelude::*;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+#[derive(Debug, Clone)]
+pub struct CellFact {
+    pub addr: String,
+    pub told: Option<CellTold>,
+    /// How far its time of day is from here.
+    pub clock_off: Duration,
+}
+
+#[derive(Debug, Clone)]
+pub struct StoreFact {
+    pub name: String,
+    pub state: String,
+    pub addr: String,
+    /// Its set's serial, whether it lost its disk, and its turns.
+    pub told: Option<(u64, bool, u64)>,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct DiskFact {
+    pub dir: String,
+    pub used: u64,
+    pub limit: u64,
+    pub damage: Vec<String>,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Facts {
+    pub cells: Vec<CellFact>,
+    pub stores: Vec<StoreFact>,
+    pub disk: Option<DiskFact>,
+    /// Engines on the platform's list by area; none when it couldn't be read.
+    pub listed: BTreeMap<String, Option<usize>>,
+}
+
+const WITHIN: Duration = Duration::from_millis(1500);
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+pub async fn gather(env: &NodeEnv) -> Facts {
+    let mut f = Facts::default();
+    let mut todo: VecDeque<String> =
+        env.seeds.iter().map(|s| env.inner_addr(&s.ip().to_string(), CELL_PORT)).collect();
+    let mut seen: BTreeSet<String> = todo.iter().cloned().collect();
+    let mut stores: BTreeMap<String, (String, String)> = BTreeMap::new();
+    while let Some(addr) = todo.pop_front() {
+        let before = unix_ms();
+        let told = match Caller::new(addr.clone()).call(&CellCall::Tell, WITHIN).await {
+            Ok(CellReply::Told(t)) => Some(t),
+            _ => None,
+        };
+        let mid = (before + unix_ms()) / 2;
+        let mut clock_off = Duration::ZERO;
+        if let Some(t) = &told {
+            clock_off = Duration::from_millis(t.unix_ms.abs_diff(mid));
+            for a in &t.cells {
+                if seen.insert(a.clone()) {
+                    todo.push_back(a.clone());
+                }
+            }
+            for (name, state, addr) in &t.stores {
+                stores.insert(name.clone(), (state.clone(), addr.clone()));
+            }
+        }
+        f.cells.push(CellFact { addr, told, clock_off });
+    }
+    for (name, (state, addr)) in stores {
+        let told = match Caller::new(addr.clone()).call(&StoreCall::Tell, WITHIN).await {
+            Ok(StoreReply::Told { serial, fresh, turns, .. }) => Some((serial, fresh, turns)),
+            _ => None,
+        };
+        f.stores.push(StoreFact { name, state, addr, told });
+    }
+    if let Some(cloud) = &env.cloud {
+        for area in env.areas.keys() {
+            let n = list_area(cloud.address, area, WITHIN).await.ok().map(|l| l.len());
+            f.listed.insert(area.clone(), n);
+        }
+    }
+    f.disk = env.data_dir.as_deref().map(|d| look_at_disk(d, env.limits.disk_mb << 20));
+    f
+}
+
+fn look_at_disk(dir: &Path, limit: u64) -> DiskFact {
+    let mut fact = DiskFact { dir: dir.display().to_string(), limit, ..DiskFact::default() };
+    let mut todo = vec![dir.to_path_buf()];
+    while let Some(d) = todo.pop() {
+        let Ok(list) = std::fs::read_dir(&d) else {
+            fact.damage.push(format!("{} can't be read", d.display()));
+            continue;
+        };
+        let mut has_segments = false;
+        for e in list.flatten() {
+            let p = e.path();
+            if p.is_dir() {
+                todo.push(p);
+                continue;
+            }
+            fact.used += e.metadata().map_or(0, |m| m.len());
+            has_segments |= p.extension().is_some_and(|x| x == "log");
+        }
+        if has_segments {
+            fact.damage.extend(verify_segments(&d));
+        }
+    }
+    fact
+}
--- /dev/null
+++ b/crates/doctor/src/findings/mod.rs
@@ -0,0 +1,251 @@
+//! What the facts come to.
+use crate::prelude::*;
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Finding {
+    pub place: String,
+    pub fault: String,
+    pub remedy: String,
+}
+
+const CLOCK: Duration = Duration::from_secs(5);
+
+pub fn find_faults(env: &NodeEnv, f: &Facts) -> Vec<Finding> {
+    let mut out = Vec::new();
+    let mut say = |place: &str, fault: String, remedy: &str| {
+        out.push(Finding { place: place.into(), fault, remedy: remedy.into() });
+    };
+    let told: Vec<&CellTold> = f.cells.iter().filter_map(|c| c.told.as_ref()).collect();
+    for c in &f.cells {
+        match &c.told {
+            None => say(
+                &c.addr,
+                "no cell answers".into(),
+                "see whether control-cell runs there and whether the link and port are open",
+            ),
+            Some(_) if c.clock_off > CLOCK => say(
+                &c.addr,
+                format!("its time of day is {:.1} s off from here", c.clock_off.as_secs_f64()),
+                "set the clocks; only logs suffer, nothing is decided by the time of day",
+            ),
+            Some(_) => {}
+        }
+    }
+    if told.is_empty() {
+        return out;
+    }
+    let newest = told.iter().map(|t| t.applied).max().unwrap_or(0);
+    let serial = told.iter().map(|t| t.config_serial).max().unwrap_or(0);
+    let leaders: BTreeSet<&str> = told.iter().filter_map(|t| t.leader.as_deref()).collect();
+    match leaders.len() {
+        0 => say(
+            "core",
+            "no cell knows a leader".into(),
+            "bring back cells until more than half of the members run and reach each other",
+        ),
+        1 => {}
+        _ => say(
+            "core",
+            format!("cells name several leaders: {leaders:?}"),
+            "ask again in a second; if it stays so, look for a cut between the cells",
+        ),
+    }
+    for t in &told {
+        if t.config_serial < serial {
+            say(
+                &t.name,
+                format!("is at configuration {} of {serial}", t.config_serial),
+                "ask again in a second; if it stays so, look for a cut around this cell",
+            );
+        } else if t.applied + 50 < newest {
+            say(
+                &t.name,
+                format!("has applied {} of {newest} entries", t.applied),
+                "see its disk and link",
+            );
+        }
+    }
+    if serial == 0 {
+        say("core", "no configuration was taken yet".into(), "PUT /config with If-Match: 0");
+    }
+    let best = told.iter().max_by_key(|t| t.applied);
+    if let Some(t) = best {
+        if t.members.len() < 3 {
+            say(
+                "core",
+                format!("has {} members", t.members.len()),
+                "with fewer than three the loss of one stops every change; add core machines",
+            );
+        }
+        for (area, holder, engines) in &t.areas {
+            if holder.is_none() {
+                say(area, "no living cell holds this area".into(), "see that a leader is there");
+            }
+            if let Some(Some(listed)) = f.listed.get(area) {
+                if listed.abs_diff(*engines) > 0 {
+                    say(
+                        area,
+                        format!("{engines} engines are known and {listed} are listed"),
+                        "right after a change ask again; else see the holder's way to the platform",
+                    );
+                }
+            }
+        }
+    }
+    for (area, n) in &f.listed {
+        if n.is_none() {
+            say(
+                area,
+                "the platform's list can't be read".into(),
+                "see cloudApi.address and its rate",
+            );
+        }
+    }
+    let set = f.stores.iter().filter_map(|s| s.told).map(|(serial, _, _)| serial).max();
+    let counted = f.stores.iter().filter(|s| s.state != "Copying").count();
+    if counted < 3 && !f.stores.is_empty() {
+        say(
+            "stores",
+            format!("{counted} stores count"),
+            "with fewer than three the loss of one stops turns; add storage machines",
+        );
+    }
+    for s in &f.stores {
+        match s.told {
+            None => say(
+                &s.name,
+                format!("the store at {} doesn't answer", s.addr),
+                "see whether turn-store runs there; its copies are given anew once it is replaced",
+            ),
+            Some((_, true, _)) => say(
+                &s.name,
+                "lost its disk and is being filled".into(),
+                "wait until it counts; don't take another store away before",
+            ),
+            Some((n, _, _)) if Some(n) < set => say(
+                &s.name,
+                format!("works under store set {n}"),
+                "ask again in a second; else see its link to the cells",
+            ),
+            Some(_) => {}
+        }
+        if s.state == "Leaving" {
+            say(
+                &s.name,
+                "is being emptied".into(),
+                "GET /retire/NODE tells when it may be taken away",
+            );
+        }
+    }
+    if let Some(d) = &f.disk {
+        for x in &d.damage {
+            say(
+                &d.dir,
+                x.clone(),
+                "stop the process and give it an empty disk: it fills itself from the others",
+            );
+        }
+        if d.limit > 0 && d.used * 10 > d.limit * 8 {
+            say(
+                &d.dir,
+                format!("{} of {} MB are used", d.used >> 20, d.limit >> 20),
+                "look for what else lies in the folder; old segments go by themselves",
+            );
+        }
+    }
+    if env.limits.descriptors > 0 && env.limits.descriptors < 600 {
+        say(&env.node_name, "few descriptors are allowed".into(), "allow 600 or more");
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn env() -> NodeEnv {
+        node_base::env::parse_env(
+            "f",
+            "nodeName = \"n\"\nipAddress = \"10.0.0.1\"\nzone = \"a\"\ninternalPortRange = [7000,7015]\n\
+             seedAddresses = [\"10.0.0.2:80\"]\n",
+        )
+        .unwrap()
+    }
+
+    fn sound() -> Facts {
+        let cell = |name: &str| CellFact {
+            addr: format!("{name}:1"),
+            told: Some(CellTold {
+                name: name.into(),
+                leader: Some("c1".into()),
+                applied: 9,
+                config_serial: 4,
+                members: vec!["c1".into(), "c2".into(), "c3".into()],
+                areas: vec![("a".into(), Some("c1".into()), 2)],
+                ..CellTold::default()
+            }),
+            clock_off: Duration::ZERO,
+        };
+        let store = |name: &str| StoreFact {
+            name: name.into(),
+            state: "Ready".into(),
+            addr: String::new(),
+            told: Some((1, false, 7)),
+        };
+        Facts {
+            cells: ["c1", "c2", "c3"].map(cell).to_vec(),
+            stores: ["s1", "s2", "s3"].map(store).to_vec(),
+            disk: Some(DiskFact { limit: 100, used: 10, ..DiskFact::default() }),
+            listed: BTreeMap::from([("a".to_string(), Some(2))]),
+        }
+    }
+
+    #[test]
+    fn a_sound_system_has_no_findings() {
+        assert_eq!(find_faults(&env(), &sound()), []);
+    }
+
+    #[test]
+    fn each_common_fault_is_found_with_a_remedy() {
+        type Break = fn(&mut Facts);
+        let rows: [(Break, &str); 12] = [
+            (|f| f.cells[2].told = None, "no cell answers"),
+            (|f| f.cells[1].clock_off = Duration::from_secs(9), "time of day"),
+            (
+                |f| f.cells.iter_mut().for_each(|c| c.told.as_mut().unwrap().leader = None),
+                "no cell knows a leader",
+            ),
+            (|f| f.cells[0].told.as_mut().unwrap().leader = Some("c2".into()), "several leaders"),
+            (|f| f.cells[1].told.as_mut().unwrap().config_serial = 3, "configuration 3 of 4"),
+            (
+                |f| f.cells.iter_mut().for_each(|c| c.told.as_mut().unwrap().areas[0].1 = None),
+                "no living cell",
+            ),
+            (
+                |f| {
+                    f.listed.insert("a".into(), Some(5));
+                },
+                "5 are listed",
+            ),
+            (
+                |f| {
+                    f.listed.insert("a".into(), None);
+                },
+                "list can't be read",
+            ),
+            (|f| f.stores[0].told = None, "doesn't answer"),
+            (|f| f.stores[0].told = Some((1, true, 0)), "lost its disk"),
+            (|f| f.disk.as_mut().unwrap().damage.push("bad record".into()), "bad record"),
+            (|f| f.disk.as_mut().unwrap().used = 90, "MB are used"),
+        ];
+        for (break_it, want) in rows {
+            let mut f = sound();
+            break_it(&mut f);
+            let found = find_faults(&env(), &f);
+            assert!(
+                found.iter().any(|x| x.fault.contains(want) && !x.remedy.is_empty()),
+                "{want}: {found:?}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/doctor/src/prelude.rs
@@ -0,0 +1,9 @@
+//! The one module every file of this package imports.
+pub use crate::facts::{gather, CellFact, DiskFact, Facts, StoreFact};
+pub use crate::findings::{find_faults, Finding};
+pub use inner_protocol::cells::{CellCall, CellReply, CellTold};
+pub use inner_protocol::prelude::*;
+pub use inner_protocol::stores::{StoreCall, StoreReply};
+pub use node_base::disk::verify_segments;
+pub use node_base::env::{CELL_PORT, STORE_PORT};
+pub use outer_calls::prelude::{list_area, ListError};
--- a/crates/inner-protocol/src/cells.rs
+++ b/crates/inner-protocol/src/cells.rs
@@ -135,6 +135,10 @@
     pub applied: u64,
     pub config_serial: u64,
     pub members: Vec<String>,
-    pub stores: Vec<(String, String)>,
+    /// Name, state and address.
+    pub stores: Vec<(String, String, String)>,
+    /// Addresses of the members.
+    pub cells: Vec<String>,
+    pub unix_ms: u64,
     pub areas: Vec<(String, Option<String>, usize)>,
 }
--- a/crates/node-base/src/disk/mod.rs
+++ b/crates/node-base/src/disk/mod.rs
@@ -2,5 +2,5 @@
 mod segments;
 mod snapshot;
 
-pub use segments::SegmentLog;
+pub use segments::{verify_segments, SegmentLog};
 pub use snapshot::{load_snapshot, save_snapshot};
--- a/crates/node-base/src/disk/segments.rs
+++ b/crates/node-base/src/disk/segments.rs
@@ -225,6 +225,34 @@
     }
 }
 
+/// Looks through a folder's segments without changing anything; tells what is damaged. A torn end of
+/// the last segment is no damage: it is cut off at the next start.
+pub fn verify_segments(dir: &Path) -> Vec<String> {
+    let mut out = Vec::new();
+    let list = match std::fs::read_dir(dir) {
+        Ok(l) => l,
+        Err(e) => return vec![format!("{}: {e}", dir.display())],
+    };
+    let mut files: Vec<PathBuf> = list
+        .flatten()
+        .map(|e| e.path())
+        .filter(|p| p.extension().is_some_and(|x| x == "log"))
+        .collect();
+    files.sort();
+    for (i, p) in files.iter().enumerate() {
+        match std::fs::read(p) {
+            Err(e) => out.push(format!("{}: {e}", p.display())),
+            Ok(data) => {
+                let last = i + 1 == files.len();
+                if let Err(e) = sound_end(p, &data, last, &mut |_| {}) {
+                    out.push(e.to_string());
+                }
+            }
+        }
+    }
+    out
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -309,6 +337,7 @@
         let mut data = std::fs::read(&p).unwrap();
         data[25] ^= 1;
         std::fs::write(&p, &data).unwrap();
+        assert_eq!(verify_segments(&d).len(), 1);
         assert!(matches!(read_all(&d), Err(NodeError::Damaged { .. })));
         let _ = std::fs::remove_dir_all(&d);
     }
--- a/crates/node-base/src/env/mod.rs
+++ b/crates/node-base/src/env/mod.rs
@@ -2,7 +2,7 @@
 mod check;
 mod raw;
 
-pub use check::read_env;
+pub use check::{parse_env, read_env};
 
 use crate::prelude::*;
 
--- a/crates/spokebank/src/commands/mod.rs
+++ b/crates/spokebank/src/commands/mod.rs
@@ -20,6 +20,7 @@
     Cell(CellArgs),
     Store(StoreArgs),
     Check(CheckArgs),
+    Doctor(DoctorArgs),
 }
 
 /// carry requests from clients to engines
@@ -42,6 +43,19 @@
 #[argh(subcommand, name = "turn-store")]
 pub struct StoreArgs {}
 
+/// look for common faults around this machine; changes nothing. Exit code 0: sound, 1: faults found, 2:
+/// it could not look
+#[derive(FromArgs)]
+#[argh(subcommand, name = "doctor")]
+pub struct DoctorArgs {
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// the settings file, when not the one the environment names
+    #[argh(option)]
+    pub env_file: Option<String>,
+}
+
 /// check an operator's configuration file; lists every fault with its place
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check-config")]
@@ -65,17 +79,27 @@
         Command::Agent(_) => serve(feed_agent::run_agent(node_env()?)),
         Command::Cell(_) => serve(control_cell::run_cell(node_env()?)),
         Command::Store(_) => serve(turn_store::run_store(node_env()?)),
+        Command::Doctor(d) => {
+            let env = match &d.env_file {
+                Some(f) => read_env(f)?,
+                None => node_env()?,
+            };
+            block_on(doctor::run_doctor(&env, d.json))
+        }
         Command::Check(c) => check(&c.file),
     }
 }
 
 fn serve(f: impl Future<Output = NodeResult<()>>) -> NodeResult<i32> {
+    block_on(f).map(|()| 0)
+}
+
+fn block_on<T>(f: impl Future<Output = NodeResult<T>>) -> NodeResult<T> {
     let rt = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| NodeError::Io { what: "runtime".into(), source: e })?;
-    rt.block_on(f)?;
-    Ok(0)
+    rt.block_on(f)
 }
 
 fn check(file: &str) -> NodeResult<i32> {
