Slow stores are asked last for a while; closes go elsewhere sooner; lists read every 1.1 s

Cause: a frozen store held up each open by 30 ms and closes by 350 ms, since calls given up early never counted against it.

--- a/crates/control-cell/src/listing/mod.rs
+++ b/crates/control-cell/src/listing/mod.rs
@@ -4,7 +4,7 @@
 /// The areas to read, each with the epoch that made this cell its holder.
 pub type Held = BTreeMap<String, u64>;
 
-const PERIOD: Duration = Duration::from_millis(900);
+const PERIOD: Duration = Duration::from_millis(1100);
 const WITHIN: Duration = Duration::from_millis(800);
 
 pub async fn read_lists(
--- a/crates/request-proxy/src/sending/pool.rs
+++ b/crates/request-proxy/src/sending/pool.rs
@@ -29,7 +29,7 @@
 
 const CONNECT: Duration = Duration::from_millis(350);
 const SILENT: Duration = Duration::from_millis(2500);
-const MOST_IDLE: usize = 64;
+const MOST_IDLE: usize = 16;
 
 impl Pool {
     pub fn new() -> Self {
--- a/crates/request-proxy/src/turns/bank.rs
+++ b/crates/request-proxy/src/turns/bank.rs
@@ -37,7 +37,7 @@
 const CALL: Duration = Duration::from_millis(900);
 const OPEN: Duration = Duration::from_millis(1600);
 const AGAIN: Duration = Duration::from_millis(70);
-const KEEP: Duration = Duration::from_millis(350);
+const KEEP: Duration = Duration::from_millis(150);
 /// A majority that hasn't answered by then is helped by the other stores.
 const SLOW: Duration = Duration::from_millis(30);
 const SUSPECT: Duration = Duration::from_millis(800);
@@ -47,11 +47,15 @@
         let r = self.caller.call_bytes(q, within).await;
         match &r {
             Ok(_) => *locked(&self.suspect) = None,
-            Err(_) => *locked(&self.suspect) = Some(Instant::now() + SUSPECT),
+            Err(_) => self.suspect(),
         }
         r
     }
 
+    fn suspect(&self) {
+        *locked(&self.suspect) = Some(Instant::now() + SUSPECT);
+    }
+
     fn suspected(&self) -> bool {
         locked(&self.suspect).is_some_and(|t| t > Instant::now())
     }
@@ -154,6 +158,7 @@
         tokio::pin!(slow);
         let ids: Vec<u64> = row.iter().map(|e| e.id).collect();
         let mut asked = vec![ids[0]];
+        let mut heard: Vec<u64> = Vec::new();
         let mut ledger = OpenLedger::new(set, ask.req, ask.previous.is_some());
         loop {
             match ledger.step(&asked, &ids) {
@@ -182,7 +187,10 @@
                 _ = slow.as_mut(), if !rest.is_empty() => None,
             };
             match next {
-                Some((id, Ok(StoreReply::Open(r)))) => ledger.take(id, r),
+                Some((id, Ok(StoreReply::Open(r)))) => {
+                    heard.push(id);
+                    ledger.take(id, r);
+                }
                 Some((_, Ok(StoreReply::Stale(newer)))) => {
                     self.learn(newer);
                     return Ok(None);
@@ -192,7 +200,13 @@
                     work.extend(rest.drain(..).map(|(i, e)| call(i, e)));
                 }
                 None if rest.is_empty() => return Err(OpenFault::Unsure),
-                None => work.extend(rest.drain(..).map(|(i, e)| call(i, e))),
+                None => {
+                    // Those that keep the others waiting are asked last for a while.
+                    for e in row.iter().take(set.majority()).filter(|e| !heard.contains(&e.id)) {
+                        self.link(&e.addr).suspect();
+                    }
+                    work.extend(rest.drain(..).map(|(i, e)| call(i, e)));
+                }
             }
         }
         if let Some(a) = ask.allowance {
