An engine whose records were disproved is asked for its report, seldom

Cause: the design asks that the inferred map be checked against engines; times told that records were wrong, not how full the engine was.

--- a/crates/outer-calls/src/lib.rs
+++ b/crates/outer-calls/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod plain;
 pub mod platform;
 pub mod prelude;
+pub mod report;
--- a/crates/request-proxy/src/relay/body.rs
+++ b/crates/request-proxy/src/relay/body.rs
@@ -125,7 +125,11 @@
             let key = self.end.grant.key;
             let s = self.end.session.as_deref().unwrap_or("");
             sched.index.disproved(key, &self.end.blocks, s, now);
+            let ask = sched.wants_report(key, now);
             drop(sched);
+            if let Some(addr) = ask {
+                tokio::spawn(look_closer(app.clone(), key, addr));
+            }
             debug!("engine {} read anew what it was believed to hold", self.end.grant.id);
         }
     }
@@ -185,6 +189,15 @@
     }
 }
 
+/// Asks an engine that didn't hold what it was believed to hold how full it is.
+async fn look_closer(app: Arc<App>, key: EngineKey, addr: SocketAddr) {
+    if let Some(r) = ask_report(addr, Duration::from_millis(300)).await {
+        let load = (r.running, r.waiting);
+        let now = app.now();
+        locked(&app.sched).reported(key, load, r.cache_used, r.cache_total, now);
+    }
+}
+
 impl Drop for RelayBody {
     fn drop(&mut self) {
         self.drop_all();
--- a/crates/session-index/src/engines/mod.rs
+++ b/crates/session-index/src/engines/mod.rs
@@ -36,6 +36,8 @@
     /// It turned away or failed lately: until then it is a last choice.
     pub avoid: Duration,
     pub failures: u32,
+    /// When its own report may next be asked for.
+    pub next_report: Duration,
     pub pace: Pace,
 }
 
@@ -133,6 +135,7 @@
             waiting: 0.0,
             avoid: Duration::ZERO,
             failures: 0,
+            next_report: Duration::ZERO,
             pace: Pace::default(),
         });
         self.by_key.insert(key, i);
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -84,6 +84,8 @@
     }
 }
 
+const REPORT_EVERY: Duration = Duration::from_secs(10);
+
 /// Invariants: every grant is ended exactly once; tickets in the waitlist are unknown elsewhere.
 pub struct Scheduler {
     pub engines: EngineTable,
@@ -195,6 +197,38 @@
         out
     }
 
+    /// Whether an engine whose records were disproved is to be asked for its own report: seldom, since
+    /// reports are priced.
+    pub fn wants_report(&mut self, key: EngineKey, now: Duration) -> Option<SocketAddr> {
+        let e = self.engines.get_mut(key)?;
+        if now < e.next_report {
+            return None;
+        }
+        e.next_report = now + REPORT_EVERY;
+        Some(e.addr)
+    }
+
+    /// An engine's own word: its load, and how much of its memory can't give way. What is believed
+    /// held beyond the rest of its memory is no longer believed.
+    pub fn reported(
+        &mut self,
+        key: EngineKey,
+        load: (u32, u32),
+        used: u64,
+        total: u64,
+        now: Duration,
+    ) {
+        let Some(e) = self.engines.get_mut(key) else {
+            return;
+        };
+        e.told(load.0, load.1, 0, now);
+        if total > 0 {
+            // Lines that run now are counted as used, and may be among the records.
+            let keeps = total.saturating_sub(used) + e.memory.min(used);
+            self.index.fit(key, keeps.max(1));
+        }
+    }
+
     /// What an engine can hold, as its service's configuration tells; 0 when it doesn't.
     pub fn memory_of(&self, g: &Grant) -> u64 {
         g.memory_limit
--- a/crates/session-index/src/scheduler/tests.rs
+++ b/crates/session-index/src/scheduler/tests.rs
@@ -167,6 +167,22 @@
     assert!(!s.read(&g, Duration::from_millis(420), NOW, true));
 }
 
+#[test]
+fn an_engine_s_own_report_bounds_what_is_believed_and_is_seldom_asked_for() {
+    let mut s = scheduler();
+    let x = EngineKey::of("x");
+    for (line, part) in [("a", "1"), ("b", "2"), ("c", "3")] {
+        s.index.answered(line, x, &turn(line, &["p", part]).blocks, KEEP, NOW);
+    }
+    assert_eq!(s.index.held_by(x), 4000);
+    assert!(s.wants_report(x, NOW).is_some());
+    assert!(s.wants_report(x, NOW + Duration::from_secs(5)).is_none());
+    s.reported(x, (3, 1), 7500, 10_000, NOW);
+    assert!(s.index.held_by(x) <= 2500);
+    assert_eq!(s.engines.get(x).map(|e| e.others), Some(4.0));
+    assert!(s.wants_report(x, NOW + Duration::from_secs(11)).is_some());
+}
+
 /// A recorded trace: events one a row, and the engine each turn was placed on.
 #[test]
 fn a_recorded_trace_places_turns_as_recorded() {
