--- a/crates/request-proxy/src/lib.rs
+++ b/crates/request-proxy/src/lib.rs
@@ -10,7 +10,23 @@
 
 use crate::prelude::*;
 
+/// A proxy that has been started.
+pub struct Running {
+    pub app: Arc<App>,
+    pub serving: tokio::task::JoinHandle<()>,
+}
+
 pub async fn run_proxy(env: NodeEnv) -> NodeResult<()> {
+    let grace = env.bounds.grace;
+    let run = start_proxy(env).await?;
+    let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
+        .map_err(|e| NodeError::Io { what: "SIGTERM".into(), source: e })?;
+    term.recv().await;
+    life::end_in_order(&run.app, run.serving, grace).await;
+    Ok(())
+}
+
+pub async fn start_proxy(env: NodeEnv) -> NodeResult<Running> {
     let need = |a: Option<SocketAddr>, field: &str| {
         a.ok_or_else(|| NodeError::BadEnv {
             file: "settings".into(),
@@ -25,7 +41,6 @@
     };
     let front = bind(front).await?;
     let readiness = bind(readiness).await?;
-    let grace = env.bounds.grace;
     let app = App::new(env);
     app::follow_agent(&app);
     app::sweep_regularly(&app);
@@ -33,9 +48,5 @@
     app.tell_life(stop);
     tokio::spawn(door::serve_readiness(readiness, app.clone()));
     let serving = tokio::spawn(door::serve_front(front, app.clone(), stopped));
-    let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
-        .map_err(|e| NodeError::Io { what: "SIGTERM".into(), source: e })?;
-    term.recv().await;
-    life::end_in_order(&app, serving, grace).await;
-    Ok(())
+    Ok(Running { app, serving })
 }
--- a/crates/request-proxy/src/life/machine.rs
+++ b/crates/request-proxy/src/life/machine.rs
@@ -68,6 +68,10 @@
         State::Starting {}
     }
 
+    pub fn closing_now() -> Self {
+        State::Closing {}
+    }
+
     pub fn ready(&self) -> bool {
         matches!(self, State::Serving {})
     }
--- a/crates/stand-ins/src/engine/mod.rs
+++ b/crates/stand-ins/src/engine/mod.rs
@@ -16,6 +16,8 @@
     Cut,
     /// A success without the stamp.
     Unstamped,
+    /// Holds the last event back until released.
+    Held,
 }
 
 #[derive(Debug, Clone)]
@@ -32,6 +34,7 @@
     pub addr: SocketAddr,
     pub ran: Arc<Mutex<Vec<Ran>>>,
     pub moods: Arc<Mutex<VecDeque<Mood>>>,
+    pub release: Arc<tokio::sync::Notify>,
 }
 
 type Out = http_body_util::combinators::BoxBody<Bytes, std::io::Error>;
@@ -46,6 +49,7 @@
             addr: l.local_addr()?,
             ran: Arc::default(),
             moods: Arc::default(),
+            release: Arc::default(),
         };
         let me = e.clone();
         tokio::spawn(async move {
@@ -122,7 +126,8 @@
         if mood == Some(Mood::Cut) {
             frames[2] = Err(std::io::Error::other("cut"));
         }
-        let stream = StreamBody::new(futures_iter(frames));
+        let hold = (mood == Some(Mood::Held)).then(|| self.release.clone());
+        let stream = StreamBody::new(futures_iter(frames, hold));
         built(base.header("content-type", "text/event-stream").body(BodyExt::boxed(stream)))
     }
 }
@@ -130,11 +135,19 @@
 /// One frame at a time, so that what comes before a cut has gone out.
 fn futures_iter(
     frames: Vec<Result<Frame<Bytes>, std::io::Error>>,
+    hold: Option<Arc<tokio::sync::Notify>>,
 ) -> impl futures_util::Stream<Item = Result<Frame<Bytes>, std::io::Error>> {
-    futures_util::stream::iter(frames).then(|f| async move {
-        for _ in 0..50 {
-            tokio::task::yield_now().await;
+    let last = frames.len() - 1;
+    futures_util::stream::iter(frames.into_iter().enumerate()).then(move |(i, f)| {
+        let hold = hold.clone().filter(|_| i == last);
+        async move {
+            for _ in 0..50 {
+                tokio::task::yield_now().await;
+            }
+            if let Some(h) = hold {
+                h.notified().await;
+            }
+            f
         }
-        f
     })
 }
--- a/crates/stand-ins/tests/whole_path.rs
+++ b/crates/stand-ins/tests/whole_path.rs
@@ -104,7 +104,7 @@
     call(FRONT, method, path, &h, body).await.unwrap()
 }
 
-async fn system(dir: &std::path::Path) -> (Engine, [Engine; 2]) {
+async fn system(dir: &std::path::Path) -> (Engine, [Engine; 2], request_proxy::Running) {
     let llm = Engine::start("i-llm", "127.0.9.40:0").await.unwrap();
     let a = Engine::start("i-a", "127.0.9.41:0").await.unwrap();
     let b = Engine::start("i-b", "127.0.9.42:0").await.unwrap();
@@ -128,8 +128,7 @@
     }
     let front = env("front-1", "front", "127.0.9.30", "a", dir, cloud);
     tokio::spawn(feed_agent::run_agent(front.clone()));
-    tokio::spawn(request_proxy::run_proxy(front));
-    (llm, [a, b])
+    (llm, [a, b], request_proxy::start_proxy(front).await.unwrap())
 }
 
 #[tokio::test]
@@ -137,7 +136,7 @@
     let dir = std::env::temp_dir().join(format!("spokebank-whole-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&dir);
     std::fs::create_dir_all(&dir).unwrap();
-    let (llm, apps) = system(&dir).await;
+    let (llm, apps, proxy) = system(&dir).await;
 
     // The operator.
     until("the first configuration", async || put(3, 0, &config(3, false)).await == 200).await;
@@ -245,5 +244,37 @@
     assert_eq!(put(9, 3, &config(9, true)).await, 200);
     until("the new way", async || plain("n2", "GET", "/n/a", b"").await.status == 200).await;
     assert_eq!(plain("r8", "GET", "/r/a", b"").await.status, 200);
+
+    // Taken out of service while a turn is being answered.
+    llm.be(Mood::Held);
+    let speaking = tokio::spawn(async { turn("d1", Some("t3"), "10", "100000", b"last").await });
+    until("the turn to run", async || llm.runs().iter().any(|r| r.request_id == "d1")).await;
+    let app = proxy.app.clone();
+    let end = tokio::spawn(async move {
+        request_proxy::life::end_in_order(&app, proxy.serving, Duration::from_secs(6)).await;
+    });
+    until("unready", async || {
+        let a = call("127.0.9.30:28141", "GET", "/readiness", &[("host", "x")], b"").await;
+        a.is_some_and(|a| a.status == 503)
+    })
+    .await;
+    // What the entry still sends is served, one answer a connection.
+    let a = plain("d2", "GET", "/r/a", b"").await;
+    assert_eq!((a.status, a.headers.get("connection").unwrap().as_bytes()), (200, &b"close"[..]));
+    let began = Instant::now();
+    until("idle connections to be closed in order", async || {
+        began.elapsed() > Duration::from_millis(2100)
+            && proxy.app.life() == request_proxy::prelude::LifeState::closing_now()
+    })
+    .await;
+    assert_eq!(plain("d3", "POST", "/w/a", b"late note").await.status, 200);
+    assert_eq!(runs("d3"), 1);
+    assert!(!end.is_finished(), "an answer is still being spoken");
+    llm.release.notify_one();
+    let a = speaking.await.unwrap();
+    assert_eq!((a.status, a.whole), (200, true));
+    end.await.unwrap();
+    assert!(call(FRONT, "GET", "/r/a", &[("host", "h.example")], b"").await.is_none());
+    assert_eq!(llm.runs().iter().filter(|r| r.request_id == "d1").count(), 1);
     let _ = std::fs::remove_dir_all(&dir);
 }
