--- a/crates/feed-follow/src/link/mod.rs
+++ b/crates/feed-follow/src/link/mod.rs
@@ -3,6 +3,7 @@
 
 use crate::prelude::*;
 use machine::{Feed, FeedEvent, FeedState};
+use node_base::env::{CELL_PORT, FEED_PORT};
 use node_base::links::{connect, frame_stream, Wire};
 
 /// A follower: who it is, and where cells were first told to be.
@@ -16,6 +17,20 @@
     pub silence: Duration,
 }
 
+impl FollowEnv {
+    /// Follows the cells that the settings name, and those they tell of.
+    pub fn of_cells(env: &NodeEnv) -> Self {
+        let cell = |s: &SocketAddr| env.inner_addr(&s.ip().to_string(), CELL_PORT);
+        FollowEnv {
+            name: env.node_name.clone(),
+            seeds: env.seeds.iter().map(cell).collect(),
+            feed_port: env.internal_ports.0 + FEED_PORT,
+            fixed: false,
+            silence: Duration::from_millis(1000),
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub enum News {
     Items(Vec<FeedItem>),
--- a/crates/request-proxy/src/flow/plain.rs
+++ b/crates/request-proxy/src/flow/plain.rs
@@ -74,9 +74,8 @@
         let mut sched = locked(&app.sched);
         match &came {
             Came::Answer(_) => {}
-            Came::NotRun { elsewhere: true, .. } => sched.replaced(g.key),
-            Came::NotRun { reached: true, .. } => sched.turned_away(g.key, now),
-            _ => sched.failed(g.key, now),
+            Came::NotRun { reached, elsewhere } => sched.not_run(g.key, *reached, *elsewhere, now),
+            Came::Lost(_) | Came::Late => sched.failed(g.key, now),
         }
         drop(sched);
         drop(held);
--- a/crates/request-proxy/src/flow/turn.rs
+++ b/crates/request-proxy/src/flow/turn.rs
@@ -183,13 +183,7 @@
             SendOutcome::NotRun { reached, elsewhere } => {
                 let now = app.now();
                 let mut sched = locked(&app.sched);
-                if elsewhere {
-                    sched.replaced(g.key);
-                } else if reached {
-                    sched.turned_away(g.key, now);
-                } else {
-                    sched.failed(g.key, now);
-                }
+                sched.not_run(g.key, reached, elsewhere, now);
                 if let Some(s) = head.session {
                     sched.index.dropped(s);
                 }
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -242,8 +242,16 @@
         self.waitlist.len()
     }
 
-    /// The engine turned a send away without running it.
-    pub fn turned_away(&mut self, key: EngineKey, now: Duration) {
+    /// A send didn't run: another engine lives there, the engine turned it away, or wasn't reached.
+    pub fn not_run(&mut self, key: EngineKey, reached: bool, elsewhere: bool, now: Duration) {
+        match (elsewhere, reached) {
+            (true, _) => self.replaced(key),
+            (false, true) => self.turned_away(key, now),
+            (false, false) => self.failed(key, now),
+        }
+    }
+
+    fn turned_away(&mut self, key: EngineKey, now: Duration) {
         if let Some(e) = self.engines.get_mut(key) {
             e.avoid = now + Duration::from_millis(120);
             e.others = e.others.max(f64::from(e.slots));
@@ -260,7 +268,7 @@
     }
 
     /// Another engine answers at this address.
-    pub fn replaced(&mut self, key: EngineKey) {
+    fn replaced(&mut self, key: EngineKey) {
         if let Some(e) = self.engines.get_mut(key) {
             e.draining = true;
         }
--- a/crates/turn-store/src/lib.rs
+++ b/crates/turn-store/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod tables;
 
 use crate::prelude::*;
-use node_base::env::{CELL_PORT, FEED_PORT, STORE_PORT};
+use node_base::env::STORE_PORT;
 
 pub async fn run_store(env: NodeEnv) -> NodeResult<()> {
     let addr = env.own_addr(STORE_PORT);
@@ -14,14 +14,7 @@
         TcpListener::bind(&addr).await.map_err(|e| NodeError::Io { what: addr, source: e })?;
     let (store, status) = owner::start(&env)?;
     let (tx, mut rx) = mpsc::channel(64);
-    let follow = FollowEnv {
-        name: env.node_name.clone(),
-        seeds: env.seeds.iter().map(|s| env.inner_addr(&s.ip().to_string(), CELL_PORT)).collect(),
-        feed_port: env.internal_ports.0 + FEED_PORT,
-        fixed: false,
-        silence: Duration::from_millis(1000),
-    };
-    tokio::spawn(follow_cells(follow, tx, status));
+    tokio::spawn(follow_cells(FollowEnv::of_cells(&env), tx, status));
     let h = store.clone();
     tokio::spawn(async move {
         while let Some(n) = rx.recv().await {
