--- a/crates/stand-ins/src/client/mod.rs
+++ b/crates/stand-ins/src/client/mod.rs
@@ -47,3 +47,13 @@
     }
     Some(Answered { status: head.status.as_u16(), headers: head.headers, body: out, whole })
 }
+
+/// Sends bytes as they are and reads until the connection ends.
+pub async fn raw(addr: &str, bytes: &[u8]) -> Option<Vec<u8>> {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut s = TcpStream::connect(addr).await.ok()?;
+    s.write_all(bytes).await.ok()?;
+    let mut out = Vec::new();
+    let _ = tokio::time::timeout(Duration::from_secs(5), s.read_to_end(&mut out)).await.ok()?;
+    Some(out)
+}
--- a/crates/stand-ins/src/prelude.rs
+++ b/crates/stand-ins/src/prelude.rs
@@ -1,5 +1,5 @@
 //! The one module every file of this package imports.
-pub use crate::client::{call, Answered};
+pub use crate::client::{call, raw, Answered};
 pub use crate::engine::{Engine, Mood, Ran};
 pub use crate::platform::serve_platform;
 pub use http_body_util::{BodyExt, Full, StreamBody};
--- a/crates/stand-ins/tests/whole_path.rs
+++ b/crates/stand-ins/tests/whole_path.rs
@@ -240,6 +240,34 @@
     let h = [("host", "h.example"), (names::DEADLINE, "3000")];
     assert_eq!(call(FRONT, "GET", "/r/a", &h, b"").await.unwrap().status, 400);
 
+    // Forms that smuggle a request inside another: refused and closed, or framed anew so that nothing
+    // inside is taken for a request.
+    let head = |id: &str, framing: &str| {
+        format!("POST /w/s HTTP/1.1\r\nHost: h.example\r\nX-Spokebank-Request-Id: {id}\r\n{framing}\r\n\r\n")
+    };
+    let inner = "GET /r/inner HTTP/1.1\r\nHost: h.example\r\nX-Spokebank-Request-Id: inner\r\n\r\n";
+    for (i, framing) in [
+        "Content-Length: 5\r\nContent-Length: 6",
+        "Content-Length: +5",
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked, identity",
+    ]
+    .iter()
+    .enumerate()
+    {
+        let got =
+            raw(FRONT, format!("{}{inner}", head(&format!("s{i}"), framing)).as_bytes()).await;
+        let got = String::from_utf8(got.unwrap()).unwrap();
+        assert!(got.starts_with("HTTP/1.1 400"), "{framing}: {got}");
+        assert_eq!(got.matches("HTTP/1.1").count(), 1, "{framing}");
+    }
+    let both = head("s9", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\nConnection: close");
+    let n = inner.len();
+    raw(FRONT, format!("{both}{n:x}\r\n{inner}\r\n0\r\n\r\n").as_bytes()).await.unwrap();
+    let inside = apps.iter().flat_map(|e| e.runs()).find(|r| r.request_id == "s9").unwrap();
+    assert_eq!(inside.body, inner.as_bytes());
+    assert_eq!(runs("inner"), 0);
+
     // News of a configuration reaches the proxy, and old ways stay.
     assert_eq!(put(9, 3, &config(9, true)).await, 200);
     until("the new way", async || plain("n2", "GET", "/n/a", b"").await.status == 200).await;
