--- a/crates/agreement/src/core/lead.rs
+++ b/crates/agreement/src/core/lead.rs
@@ -64,6 +64,10 @@
         self.count(now);
     }
 
+    fn others(&self) -> Vec<u64> {
+        self.log.members().iter().map(|m| m.id).filter(|i| *i != self.me).collect()
+    }
+
     fn place(&mut self, body: Body) -> (u64, u64) {
         let e = Entry { index: self.log.last() + 1, term: self.hard.term, body };
         let at = (e.index, e.term);
@@ -95,8 +99,7 @@
         let Some(lead) = &mut self.lead else { return };
         lead.round += 1;
         lead.next_beat = now + beat;
-        let ids: Vec<u64> =
-            self.log.members().iter().map(|m| m.id).filter(|i| *i != self.me).collect();
+        let ids = self.others();
         if let Some(lead) = &mut self.lead {
             lead.peers.retain(|id, _| ids.contains(id));
         }
@@ -267,8 +270,7 @@
         }
         let at = self.place(body);
         self.out.push(Effect::Placed { token, at: Some(at) });
-        let ids: Vec<u64> =
-            self.log.members().iter().map(|m| m.id).filter(|i| *i != self.me).collect();
+        let ids = self.others();
         for id in ids {
             self.send_to(id, now, false);
         }
--- a/crates/agreement/src/core/machine.rs
+++ b/crates/agreement/src/core/machine.rs
@@ -238,7 +238,7 @@
             last_term: self.log.last_term(),
         };
         self.send_all(msg);
-        self.count_votes(now, false);
+        self.count_votes(now);
     }
 
     pub(super) fn send_all(&mut self, msg: Msg) {
@@ -262,10 +262,10 @@
             forced,
         };
         self.send_all(msg);
-        self.count_votes(now, false);
+        self.count_votes(now);
     }
 
-    fn count_votes(&mut self, now: Duration, forced: bool) {
+    fn count_votes(&mut self, now: Duration) {
         let members = self.log.members();
         let won = members.iter().filter(|m| self.votes.contains(&m.id)).count() > members.len() / 2;
         if !won {
@@ -274,7 +274,7 @@
         match self.role() {
             RoleState::Asking {} => {
                 self.go(RoleEvent::PreVotesWon);
-                self.stand(now, forced);
+                self.stand(now, false);
             }
             RoleState::Candidate {} => {
                 self.go(RoleEvent::VotesWon);
@@ -314,7 +314,7 @@
                     self.newer_term(term, now);
                 } else if granted && matches!(self.role(), RoleState::Asking {}) {
                     self.votes.insert(from);
-                    self.count_votes(now, false);
+                    self.count_votes(now);
                 }
             }
             Msg::Vote { term, last, last_term, forced } => {
@@ -345,7 +345,7 @@
                     && matches!(self.role(), RoleState::Candidate {})
                 {
                     self.votes.insert(from);
-                    self.count_votes(now, false);
+                    self.count_votes(now);
                 }
             }
             Msg::Append { term, prev, prev_term, entries, commit, round } => {
--- a/crates/request-proxy/src/relay/body.rs
+++ b/crates/request-proxy/src/relay/body.rs
@@ -150,7 +150,7 @@
         self.inner = None;
         if let Some(s) = &self.end.session {
             let mut sched = locked(&app.sched);
-            let memory = sched.memory_of(&self.end.grant);
+            let memory = self.end.grant.memory_limit;
             let now = app.now();
             let key = self.end.grant.key;
             sched.index.answered(s, key, &self.end.blocks, self.end.retention, now);
--- a/crates/session-index/src/engines/mod.rs
+++ b/crates/session-index/src/engines/mod.rs
@@ -88,10 +88,6 @@
         self.by_service.get(service).into_iter().flatten().map(|i| &self.rows[*i])
     }
 
-    pub fn rows(&self) -> impl Iterator<Item = &EngineRow> {
-        self.rows.iter().map(|(_, r)| r)
-    }
-
     /// Takes an area's table; gives back the engines that are gone.
     pub fn learn(&mut self, t: &AreaTable) -> Vec<EngineKey> {
         let mut now: Vec<EngineKey> = Vec::new();
--- a/crates/session-index/src/scheduler/elect.rs
+++ b/crates/session-index/src/scheduler/elect.rs
@@ -42,12 +42,10 @@
         }
         let (_, e, hit) = best?;
         let fresh = ask.prompt_tokens.saturating_sub(hit);
-        let most_held = hits.iter().map(|(_, n)| *n).max().unwrap_or(0);
         let reason = match () {
             _ if !ask.is_turn => Reason::Plain,
             _ if holder == Some(e.key) && hit > 0 => Reason::Hit,
             _ if holder.is_some_and(|h| held(h) > hit) => Reason::Moved,
-            _ if hit > 0 && hit >= most_held => Reason::SharedHit,
             _ if hit > 0 => Reason::SharedHit,
             _ => Reason::Miss,
         };
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -229,19 +229,10 @@
         }
     }
 
-    /// What an engine can hold, as its service's configuration tells; 0 when it doesn't.
-    pub fn memory_of(&self, g: &Grant) -> u64 {
-        g.memory_limit
-    }
-
     pub fn give_up(&mut self, ticket: u64) {
         self.waitlist.remove(ticket);
     }
 
-    pub fn waiting(&self) -> usize {
-        self.waitlist.len()
-    }
-
     /// A send didn't run: another engine lives there, the engine turned it away, or wasn't reached.
     pub fn not_run(&mut self, key: EngineKey, reached: bool, elsewhere: bool, now: Duration) {
         match (elsewhere, reached) {
