--- /dev/null
+++ b/crates/dispatcher/src/node/claim.rs
@@ -0,0 +1,173 @@
+//! What the stores' replies to a claim come to.
+use crate::prelude::*;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    Line,
+    Program,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimDecision {
+    Go {
+        number: u32,
+    },
+    /// The allowance has no room for the most of this turn.
+    Spent,
+    /// Too many attempts hold a slot.
+    Capacity {
+        in_use: u32,
+        limit: u32,
+        scope: Scope,
+    },
+    /// A majority refused: another life holds the attempt, or it is settled.
+    Refused,
+    NeedMore,
+}
+
+struct Known {
+    view: AttemptView,
+    lapsed: usize,
+    seen: usize,
+}
+
+/// Invariant: each store counts once; `attempts` joins all that any of them told.
+pub struct ClaimTally {
+    quorum: usize,
+    req: u64,
+    line: u64,
+    limits: Limits,
+    stores: BTreeSet<u64>,
+    granted: usize,
+    number: u32,
+    attempts: HashMap<u64, Known>,
+}
+
+impl ClaimTally {
+    /// `quorum` is the majority of the program's stores, T+1 of 2T+1.
+    pub fn new(quorum: usize, req: u64, line: u64, limits: Limits) -> Self {
+        ClaimTally {
+            quorum,
+            req,
+            line,
+            limits,
+            stores: BTreeSet::new(),
+            granted: 0,
+            number: 0,
+            attempts: HashMap::new(),
+        }
+    }
+
+    /// A store's outcome of the claim, with its view taken after it.
+    pub fn take(&mut self, store: u64, outcome: &WriteOutcome, view: ProgramView) {
+        if !self.stores.insert(store) {
+            return;
+        }
+        if let WriteOutcome::Claimed { number } = outcome {
+            self.granted += 1;
+            self.number = self.number.max(*number);
+        }
+        let done = view.finished.0.into_iter().map(|(r, t)| AttemptView::finished(r, t));
+        for v in done.chain(view.live) {
+            let lapsed = usize::from(v.lapsed);
+            match self.attempts.get_mut(&v.req) {
+                None => {
+                    self.attempts.insert(v.req, Known { view: v, lapsed, seen: 1 });
+                }
+                Some(k) => {
+                    k.view.join(v);
+                    k.lapsed += lapsed;
+                    k.seen += 1;
+                }
+            }
+        }
+    }
+
+    fn others(&self) -> impl Iterator<Item = &AttemptView> {
+        self.attempts.values().map(|k| &k.view).filter(|v| v.req != self.req)
+    }
+
+    /// Tokens that all other attempts put out, or may yet.
+    pub fn spent(&self) -> u64 {
+        self.others().map(|v| u64::from(v.tokens())).sum()
+    }
+
+    /// `allowance`: the program's token budget; `most`: of this turn. `engine_listed` must answer no
+    /// only for an engine that this node saw in the list and then saw leave it: an id it has not heard
+    /// of yet proves nothing.
+    pub fn decide(
+        &self,
+        allowance: Option<u64>,
+        most: u32,
+        engine_listed: &dyn Fn(&str) -> bool,
+    ) -> ClaimDecision {
+        if self.granted < self.quorum {
+            return match self.stores.len() - self.granted >= self.quorum {
+                true => ClaimDecision::Refused,
+                false => ClaimDecision::NeedMore,
+            };
+        }
+        let slots: Vec<&AttemptView> =
+            self.others().filter(|v| holds_slot(v, engine_listed)).collect();
+        let line = slots.iter().filter(|v| v.line == self.line || v.line == 0).count() as u32;
+        let program = slots.len() as u32;
+        for (in_use, limit, scope) in [
+            (line, self.limits.per_line, Scope::Line),
+            (program, self.limits.per_program, Scope::Program),
+        ] {
+            if limit > 0 && in_use >= limit {
+                return ClaimDecision::Capacity { in_use, limit, scope };
+            }
+        }
+        if allowance.is_some_and(|a| self.spent() + u64::from(most) > a) {
+            return ClaimDecision::Spent;
+        }
+        ClaimDecision::Go { number: self.number }
+    }
+
+    /// Takes over attempts that lapsed at a majority of the stores that answered; a store that never
+    /// saw one doesn't speak against it.
+    pub fn recoverable(&self, node: u64, incarnation: u64) -> Vec<LedgerWrite> {
+        let lease = self.limits.lease;
+        let lapsed = self.attempts.values().filter(|k| {
+            let unseen = self.stores.len() - k.seen;
+            let open = !k.view.is_settled() && k.view.req != self.req;
+            open && k.lapsed > 0 && k.lapsed + unseen >= self.quorum
+        });
+        lapsed
+            .map(|k| LedgerWrite::Recover {
+                req: k.view.req,
+                epoch: k.view.epoch.next(node, incarnation),
+                node,
+                incarnation,
+                lease,
+            })
+            .collect()
+    }
+
+    /// Confirms the stop of attempts whose engine is gone.
+    pub fn stopped(&self, engine_listed: &dyn Fn(&str) -> bool) -> Vec<LedgerWrite> {
+        if self.stores.len() < self.quorum {
+            return Vec::new();
+        }
+        let gone = self.others().filter(|v| !v.is_stopped()).filter_map(|v| {
+            let c = v.call.as_ref().filter(|c| !engine_listed(&c.engine))?;
+            Some(LedgerWrite::ConfirmStopped {
+                req: v.req,
+                expected_epoch: v.epoch,
+                send: if c.at.0 == v.epoch { c.at.1 } else { 0 },
+            })
+        });
+        gone.collect()
+    }
+}
+
+/// A slot is held while an attempt is unfinished, and after that until its execution has stopped.
+/// Asked of what a majority told: a settled one without a marker was never sent.
+fn holds_slot(v: &AttemptView, engine_listed: &dyn Fn(&str) -> bool) -> bool {
+    match &v.call {
+        _ if v.is_stopped() => false,
+        None => !v.is_settled(),
+        Some(c) => engine_listed(&c.engine),
+    }
+}
--- /dev/null
+++ b/crates/dispatcher/src/node/recover.rs
@@ -0,0 +1,104 @@
+//! What the stores' outcomes of a recovery come to.
+use crate::prelude::*;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RecoverDecision {
+    NeedMore,
+    /// Nothing was started, and nothing can be any more under an older epoch: the turn may be sent
+    /// anew without spending a retry, or its reservation given back.
+    Relaunch,
+    /// It may have run: it counts at its most, and its slot is held until a stop is seen.
+    Adopt {
+        engine: String,
+    },
+    /// It has its terminal result.
+    Settled {
+        tokens: u32,
+    },
+    /// A majority refused: its lease runs, or another life recovers it.
+    Lost,
+}
+
+/// Invariant: each store counts once.
+pub struct RecoverTally {
+    quorum: usize,
+    req: u64,
+    epoch: Epoch,
+    stores: BTreeSet<u64>,
+    granted: usize,
+    /// Under which epoch it was called, and where.
+    call: Option<(Epoch, String)>,
+    most: u32,
+    settled: Option<Settlement>,
+    done: usize,
+}
+
+impl RecoverTally {
+    pub fn new(quorum: usize, req: u64, epoch: Epoch) -> Self {
+        RecoverTally {
+            quorum,
+            req,
+            epoch,
+            stores: BTreeSet::new(),
+            granted: 0,
+            call: None,
+            most: 0,
+            settled: None,
+            done: 0,
+        }
+    }
+
+    pub fn take(&mut self, store: u64, outcome: &WriteOutcome) {
+        if !self.stores.insert(store) {
+            return;
+        }
+        match outcome {
+            WriteOutcome::Recovered { invoke, called_at, most } => {
+                self.granted += 1;
+                self.most = self.most.max(*most);
+                if let Invoke::Called { engine } = invoke {
+                    self.call = self.call.take().max(Some((*called_at, engine.clone())));
+                }
+            }
+            WriteOutcome::AlreadySettled { epoch, tokens } => {
+                self.done += 1;
+                self.settled =
+                    self.settled.max(Some(Settlement { epoch: *epoch, tokens: *tokens }));
+            }
+            _ => {}
+        }
+    }
+
+    pub fn decide(&self) -> RecoverDecision {
+        // A settlement older than the newest call is void: a relaunch came after it.
+        let valid = |s: &Settlement| self.call.as_ref().is_none_or(|(e, _)| s.epoch >= *e);
+        if self.granted + self.done >= self.quorum {
+            if let Some(s) = self.settled.filter(valid) {
+                return RecoverDecision::Settled { tokens: s.tokens };
+            }
+        }
+        if self.granted < self.quorum {
+            return match self.stores.len() - self.granted >= self.quorum {
+                true => RecoverDecision::Lost,
+                false => RecoverDecision::NeedMore,
+            };
+        }
+        match &self.call {
+            None => RecoverDecision::Relaunch,
+            Some((_, e)) => RecoverDecision::Adopt { engine: e.clone() },
+        }
+    }
+
+    /// The settlement that follows for a turn nobody waits for any more: a relaunch gives back the
+    /// whole reservation, an adopted one counts at its most and isn't known to have stopped, and one
+    /// settled at some store only is settled alike at all.
+    pub fn settle(&self) -> Option<LedgerWrite> {
+        let (tokens, stopped) = match self.decide() {
+            RecoverDecision::Relaunch => (0, true),
+            RecoverDecision::Adopt { .. } => (self.most, false),
+            RecoverDecision::Settled { tokens } => (tokens, false),
+            _ => return None,
+        };
+        Some(LedgerWrite::Settle { req: self.req, epoch: Some(self.epoch), tokens, stopped })
+    }
+}
