--- a/crates/dispatcher/src/ledger/apply.rs
+++ b/crates/dispatcher/src/ledger/apply.rs
@@ -24,7 +24,7 @@
             LedgerWrite::Renew { req, epoch, lease } => {
                 refused(self.renew(*req, *epoch, *lease, now))
             }
-            LedgerWrite::Recover { req, epoch, node, incarnation, lease } => {
+            LedgerWrite::Recover { req, epoch, node, incarnation, line, most, lease } => {
                 let s = Segment {
                     epoch: *epoch,
                     node: *node,
@@ -33,7 +33,9 @@
                     recovered: true,
                     relaunched: false,
                 };
-                self.recover(*req, s, *lease, now, lives)
+                let mut part = AttemptRecord::stub(*req);
+                (part.line, part.most) = (*line, *most);
+                self.recover(part, s, *lease, now, lives)
             }
             LedgerWrite::Release { req, epoch } => refused(self.release(*req, *epoch)),
             LedgerWrite::Settle { req, epoch, tokens, stopped } => {
@@ -133,13 +135,13 @@
 
     fn recover(
         &mut self,
-        req: u64,
+        mut part: AttemptRecord,
         s: Segment,
         lease: Duration,
         now: Duration,
         lives: &Lives,
     ) -> Applied {
-        let mut part = AttemptRecord::stub(req);
+        let req = part.req;
         if let Some(row) = self.rows.get(&req) {
             let r = &row.record;
             if let Some(done) = settled(r) {
@@ -152,7 +154,7 @@
             if !again && !has_lapsed(row, now, lives) {
                 return refused(WriteOutcome::Held);
             }
-            part = r.clone();
+            part.join(r);
         }
         let (invoke, most) = (part.invoke(), part.most);
         let called_at = part.call.as_ref().map_or(Epoch::NONE, |c| c.at.0);
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -13,8 +13,8 @@
     replayed: bool,
     /// The lease's end; `None` after a release.
     until: Option<Duration>,
-    /// When the newest marker was first seen here.
-    called: Duration,
+    /// When the attempt was first seen here.
+    seen: Duration,
 }
 
 struct Row {
@@ -65,8 +65,6 @@
                 v.finished.0.push((r.req, r.tokens()));
                 continue;
             }
-            let passed = self.has_passed(row, now);
-            let by_deadline = r.call.as_ref().filter(|_| passed).map(|c| c.at);
             v.live.push(AttemptView {
                 req: r.req,
                 line: r.line,
@@ -75,18 +73,19 @@
                 most: r.most,
                 call: r.call.clone(),
                 settlement: r.settlement,
-                stop: r.stop.max(by_deadline),
+                stop: r.stop,
                 lapsed: !r.is_settled() && has_lapsed(row, now, lives),
+                passed: self.has_passed(row, now),
             });
         }
         v
     }
 
-    /// The engine was handed a deadline, and ceases work at it: since the marker was written before
-    /// the send, and the client's time ran from before that, it is over by now.
+    /// Engines cease work at the deadline they are handed, nodes send nothing after it, and recovery
+    /// keeps it. The client's time ran from before the claim, so nothing of it runs by now.
     fn has_passed(&self, row: &Row, now: Duration) -> bool {
         let d = Duration::from_millis(row.record.pinned.deadline_ms);
-        !d.is_zero() && now >= row.local.called + d + self.limits.slack
+        !d.is_zero() && now >= row.local.seen + d + self.limits.slack
     }
 
     fn take_in(&mut self, part: &AttemptRecord, now: Duration, replayed: bool) -> bool {
@@ -94,17 +93,14 @@
         match self.rows.get_mut(&part.req) {
             None => {
                 let local =
-                    Local { granted: Epoch::NONE, replayed, until: Some(now + lease), called: now };
+                    Local { granted: Epoch::NONE, replayed, until: Some(now + lease), seen: now };
                 self.rows.insert(part.req, Row { record: part.clone(), local });
                 true
             }
             Some(row) => {
-                let (epoch, call) = (row.record.epoch(), row.record.call.clone());
+                let epoch = row.record.epoch();
                 let changed = row.record.join(part);
                 row.local.replayed |= replayed;
-                if row.record.call != call {
-                    row.local.called = now;
-                }
                 if row.record.epoch() != epoch {
                     row.local.until = Some(row.local.until.unwrap_or(now).max(now + lease));
                 }
--- a/crates/dispatcher/src/node/claim.rs
+++ b/crates/dispatcher/src/node/claim.rs
@@ -27,6 +27,7 @@
 
 struct Known {
     view: AttemptView,
+    /// Stores at which nobody holds it any more: the lease has lapsed, or it is settled.
     lapsed: usize,
     seen: usize,
 }
@@ -58,18 +59,23 @@
         }
     }
 
-    /// A store's outcome of the claim, with its view taken after it.
+    /// A store's outcome of the claim, with its view taken after it. A recovery that may be launched
+    /// anew is tallied alike: others may have been given its room in the meantime.
     pub fn take(&mut self, store: u64, outcome: &WriteOutcome, view: ProgramView) {
         if !self.stores.insert(store) {
             return;
         }
-        if let WriteOutcome::Claimed { number } = outcome {
-            self.granted += 1;
-            self.number = self.number.max(*number);
+        match outcome {
+            WriteOutcome::Claimed { number } => {
+                self.granted += 1;
+                self.number = self.number.max(*number);
+            }
+            WriteOutcome::Recovered { .. } => self.granted += 1,
+            _ => {}
         }
         let done = view.finished.0.into_iter().map(|(r, t)| AttemptView::finished(r, t));
         for v in done.chain(view.live) {
-            let lapsed = usize::from(v.lapsed);
+            let lapsed = usize::from(v.lapsed || v.is_settled());
             match self.attempts.get_mut(&v.req) {
                 None => {
                     self.attempts.insert(v.req, Known { view: v, lapsed, seen: 1 });
@@ -127,6 +133,7 @@
 
     /// Takes over attempts that lapsed at a majority of the stores that answered; a store that never
     /// saw one doesn't speak against it.
+    /// Each write's epoch is of this claim alone.
     pub fn recoverable(&self, node: u64, incarnation: u64) -> Vec<LedgerWrite> {
         let lease = self.limits.lease;
         let lapsed = self.attempts.values().filter(|k| {
@@ -137,9 +144,11 @@
         lapsed
             .map(|k| LedgerWrite::Recover {
                 req: k.view.req,
-                epoch: k.view.epoch.next(node, incarnation),
+                epoch: k.view.epoch.next(node, incarnation, self.req),
                 node,
                 incarnation,
+                line: k.view.line,
+                most: k.view.most,
                 lease,
             })
             .collect()
@@ -162,12 +171,14 @@
     }
 }
 
-/// A slot is held while an attempt is unfinished, and after that until its execution has stopped.
-/// Asked of what a majority told: a settled one without a marker was never sent.
+/// A slot is held while an attempt is unfinished, since its holder may still send, and after that until
+/// its execution has stopped; not beyond its deadline. Asked of what a majority told: a settled one
+/// without a marker was never sent.
 fn holds_slot(v: &AttemptView, engine_listed: &dyn Fn(&str) -> bool) -> bool {
     match &v.call {
-        _ if v.is_stopped() => false,
-        None => !v.is_settled(),
-        Some(c) => engine_listed(&c.engine),
+        _ if v.passed => false,
+        _ if !v.is_settled() => true,
+        None => false,
+        Some(c) => !v.is_stopped() && engine_listed(&c.engine),
     }
 }
--- a/crates/dispatcher/src/node/recover.rs
+++ b/crates/dispatcher/src/node/recover.rs
@@ -4,8 +4,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RecoverDecision {
     NeedMore,
-    /// Nothing was started, and nothing can be any more under an older epoch: the turn may be sent
-    /// anew without spending a retry, or its reservation given back.
+    /// Nothing was started, and nothing can be any more under an older epoch. The reservation is given
+    /// back without spending a retry; or the turn is sent anew under this epoch, within its first
+    /// deadline, if a `ClaimTally` of the same outcomes and views says go.
     Relaunch,
     /// It may have run: it counts at its most, and its slot is held until a stop is seen.
     Adopt {
--- a/crates/dispatcher/src/records/attempt.rs
+++ b/crates/dispatcher/src/records/attempt.rs
@@ -128,7 +128,7 @@
 
 impl NewAttempt {
     pub fn epoch(&self) -> Epoch {
-        Epoch::first(self.node, self.incarnation)
+        Epoch::first(self.node, self.incarnation, self.req)
     }
 
     pub fn record(&self) -> AttemptRecord {
--- a/crates/dispatcher/src/records/view.rs
+++ b/crates/dispatcher/src/records/view.rs
@@ -20,17 +20,26 @@
     pub call: Option<Call>,
     #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub settlement: Option<Settlement>,
-    /// Told by evidence, or by the pinned deadline having passed at the store.
     #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
     pub stop: Option<CallPoint>,
     /// The lease has lapsed at the store that tells.
     #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
     pub lapsed: bool,
+    /// The pinned deadline, and the slack after it, have passed at the store that tells.
+    #[serde(rename = "p", default, skip_serializing_if = "std::ops::Not::not")]
+    pub passed: bool,
 }
 
 impl AttemptView {
+    /// Stricter than a record: a recovery under way voids what the holder before it settled, until the
+    /// recoverer settles the attempt; it may be relaunched.
+    fn settled(&self) -> Option<u32> {
+        let s = self.settlement.filter(|s| s.epoch >= self.epoch);
+        valid_settlement(s, self.call.as_ref())
+    }
+
     pub fn is_settled(&self) -> bool {
-        valid_settlement(self.settlement, self.call.as_ref()).is_some()
+        self.settled().is_some()
     }
 
     pub fn is_stopped(&self) -> bool {
@@ -39,7 +48,7 @@
 
     /// At its most, or what it was settled at.
     pub fn tokens(&self) -> u32 {
-        valid_settlement(self.settlement, self.call.as_ref()).unwrap_or(self.most)
+        self.settled().unwrap_or(self.most)
     }
 
     /// What several stores tell of one attempt; `lapsed` is counted apart.
@@ -51,6 +60,7 @@
         self.call = self.call.take().max(o.call);
         self.settlement = self.settlement.max(o.settlement);
         self.stop = self.stop.max(o.stop);
+        self.passed |= o.passed;
     }
 
     pub(crate) fn finished(req: u64, tokens: u32) -> Self {
@@ -64,6 +74,7 @@
             settlement: Some(Settlement { epoch: Epoch::ANY_FIRST, tokens }),
             stop: Some(CallPoint::all_of(Epoch::ANY_FIRST)),
             lapsed: false,
+            passed: false,
         }
     }
 }
--- a/crates/dispatcher/src/records/write.rs
+++ b/crates/dispatcher/src/records/write.rs
@@ -45,6 +45,11 @@
         node: u64,
         #[serde(rename = "i")]
         incarnation: u64,
+        /// As the claim told them, for a store that never saw it.
+        #[serde(rename = "b")]
+        line: u64,
+        #[serde(rename = "m")]
+        most: u32,
         #[serde(rename = "l", with = "crate::records::millis")]
         lease: Duration,
     },
