--- a/crates/dispatcher/src/ledger/apply.rs
+++ b/crates/dispatcher/src/ledger/apply.rs
@@ -41,8 +41,8 @@
             LedgerWrite::Settle { req, epoch, tokens, stopped } => {
                 self.settle(*req, *epoch, *tokens, *stopped, now)
             }
-            LedgerWrite::ConfirmStopped { req, expected_epoch, send } => {
-                self.confirm_stopped(*req, *expected_epoch, *send, now)
+            LedgerWrite::ConfirmStopped { req, expected_epoch, call } => {
+                self.confirm_stopped(*req, *expected_epoch, *call, now)
             }
             LedgerWrite::Merge(part) => {
                 let log = self.take_in(part, now, false).then(|| part.clone());
@@ -219,7 +219,13 @@
         Applied { outcome, log: changed.then_some(part) }
     }
 
-    fn confirm_stopped(&mut self, req: u64, epoch: Epoch, send: u32, now: Duration) -> Applied {
+    fn confirm_stopped(
+        &mut self,
+        req: u64,
+        epoch: Epoch,
+        call: CallPoint,
+        now: Duration,
+    ) -> Applied {
         let Some(r) = self.record(req) else {
             return refused(WriteOutcome::Unknown);
         };
@@ -227,7 +233,7 @@
             return refused(WriteOutcome::Fenced { epoch: r.epoch() });
         }
         let mut part = r.part();
-        part.stop = Some(CallPoint(epoch, send));
+        part.stop = Some(call);
         let changed = self.take_in(&part, now, false);
         Applied { outcome: WriteOutcome::Stopped, log: changed.then_some(part) }
     }
--- a/crates/dispatcher/src/ledger/mod.rs
+++ b/crates/dispatcher/src/ledger/mod.rs
@@ -60,8 +60,10 @@
         let mut v = ProgramView::default();
         for row in self.rows.values() {
             let r = &row.record;
-            let done = r.is_settled() && r.is_stopped() && r.epoch().round() <= 1;
-            if done && r.settlement.is_some_and(|s| s.epoch.round() <= 1) {
+            // Only what surely covers all sends: this store may have missed some.
+            let all = r.stop.is_some_and(|s| s.1 == u32::MAX && s.0.round() <= 1);
+            let first = r.settlement.is_some_and(|s| s.epoch.round() <= 1);
+            if all && first && r.is_settled() && r.is_stopped() && r.epoch().round() <= 1 {
                 v.finished.0.push((r.req, r.tokens()));
                 continue;
             }
--- a/crates/dispatcher/src/node/claim.rs
+++ b/crates/dispatcher/src/node/claim.rs
@@ -164,7 +164,8 @@
             Some(LedgerWrite::ConfirmStopped {
                 req: v.req,
                 expected_epoch: v.epoch,
-                send: if c.at.0 == v.epoch { c.at.1 } else { 0 },
+                // Once it is settled, nothing more is sent under its epoch.
+                call: if v.is_settled() { CallPoint::all_of(v.epoch) } else { c.at },
             })
         });
         gone.collect()
--- a/crates/dispatcher/src/records/write.rs
+++ b/crates/dispatcher/src/records/write.rs
@@ -74,16 +74,16 @@
         #[serde(rename = "s")]
         stopped: bool,
     },
-    /// Stop evidence found later. `send` is the newest send under `expected_epoch` it covers, 0 when
-    /// the call was made under an older epoch.
+    /// Stop evidence found later. `call` is the newest send it covers: another one may be made, or may
+    /// have been made unseen, under the same epoch.
     #[serde(rename = "p")]
     ConfirmStopped {
         #[serde(rename = "r")]
         req: u64,
         #[serde(rename = "e")]
         expected_epoch: Epoch,
-        #[serde(rename = "s")]
-        send: u32,
+        #[serde(rename = "a")]
+        call: CallPoint,
     },
     /// A record, or a part of one, from another store.
     #[serde(rename = "g")]
