Proxies come to the same few engines for a shared part

Cause: each proxy learns where a shared part lies from its own sends only, so with 64 proxies nearly every one reads it anew on engines of its own choice. Change: a first turn that misses in the index believes, by rendezvous hashing of its first block over each zone's engines, that the best six hold it, each rank a little less (SharedPrior). The index decides while an engine it names is less than half full; load moves a turn on to the next rank. A guess teaches nothing about an engine's pace.

--- a/crates/session-index/src/scheduler/elect.rs
+++ b/crates/session-index/src/scheduler/elect.rs
@@ -1,4 +1,5 @@
 //! Which engine: cost in ms of waiting, the index first.
+use super::prior::SharedPrior;
 use crate::prelude::*;
 
 /// Each request that runs beside slows a turn a little.
@@ -18,7 +19,8 @@
         };
         let holder = ask.session.as_ref().and_then(|s| self.index.holder_of(s)).or(ask.told_holder);
         let held = |k: EngineKey| hits.iter().find(|(x, _)| *x == k).map_or(0, |(_, n)| *n);
-        let mut best: Option<(f64, &EngineRow, u32)> = None;
+        let prior = SharedPrior::of(&self.engines, ask, &hits, now);
+        let mut best: Option<(f64, &EngineRow, u32, u32)> = None;
         for e in self.engines.of_service(&ask.service) {
             if e.draining || ask.tried.contains(&e.key) || !self.has_room(e, ask, now) {
                 continue;
@@ -30,18 +32,19 @@
                 let before = ask.blocks.len().checked_sub(2).map_or(0, |i| ask.blocks[i].end);
                 hit = hit.max(before);
             }
-            let cost = self.cost(e, ask, hit, now)
+            let guessed = prior.tokens(e).saturating_sub(hit);
+            let cost = self.cost(e, ask, hit + guessed, now)
                 - if holder == Some(e.key) && hit > 0 { STAY_MS } else { 0.0 };
             let better = match &best {
                 None => true,
-                Some((c, _, _)) => cost < *c - 1e-9,
+                Some((c, ..)) => cost < *c - 1e-9,
             };
             if better {
-                best = Some((cost, e, hit));
+                best = Some((cost, e, hit, guessed));
             }
         }
-        let (_, e, hit) = best?;
-        let fresh = ask.prompt_tokens.saturating_sub(hit);
+        let (_, e, hit, guessed) = best?;
+        let fresh = ask.prompt_tokens.saturating_sub(hit + guessed);
         let reason = match () {
             _ if !ask.is_turn => Reason::Plain,
             _ if holder == Some(e.key) && hit > 0 => Reason::Hit,
@@ -54,6 +57,7 @@
             id: e.id.clone(),
             addr: e.addr,
             hit,
+            guessed,
             fresh: if ask.is_turn { fresh } else { 0 },
             memory: if ask.is_turn { u64::from(ask.prompt_tokens + ask.most_out) } else { 0 },
             memory_limit: ask.memory_limit,
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler: for every turn it asks the index, for every call it weighs the engines; what can't
 //! run now waits by priority and slack, and what can't be met is shed at once.
 mod elect;
+mod prior;
 #[cfg(test)]
 mod tests;
 mod waitlist;
@@ -50,6 +51,8 @@
     pub id: Arc<str>,
     pub addr: SocketAddr,
     pub hit: u32,
+    /// Tokens beyond `hit` that other proxies' sends have likely left there.
+    pub guessed: u32,
     pub fresh: u32,
     pub memory: u64,
     /// What the engine can hold.
@@ -160,7 +163,8 @@
             && ms > g.expected_ms + 0.75 * anew
             && ms > 1.6 * g.expected_ms
             && e.busy(now) < 4.0);
-        if believed {
+        // A guess tells nothing of the engine's pace: it may have read those tokens or not.
+        if believed && g.guessed == 0 {
             e.pace.first_event(took, g.fresh);
         }
         believed
