Followers take the feed from their own zone's cell, and only what they need

Cause: a follower's cell was named by rendezvous without regard to zones, so four in five configurations (about 170 kB to each of 64 agents and 9 stores) crossed a zone border, which is priced; stores got configurations and engines that they never read; and each item was copied and encoded for each follower. Followers name their topics; stores get the store set and the cells. One frame is encoded for all. The feed keeps at most 10 MB of configurations.

--- a/crates/control-cell/src/follow/mod.rs
+++ b/crates/control-cell/src/follow/mod.rs
@@ -17,11 +17,11 @@
         Ok(Some(Ok(b))) => decode::<FollowMsg>(&b),
         _ => return,
     };
-    let Some(FollowMsg::Follow { feed, no, .. }) = first else {
+    let Some(FollowMsg::Follow { feed, no, topics, .. }) = first else {
         return;
     };
     // What follows is only told once a majority has confirmed that this cell is not cut off.
-    let Some((mut items, opened)) = cell.follow(feed, no).await else {
+    let Some((mut items, opened)) = cell.follow(feed, no, topics).await else {
         return;
     };
     if wire.send(encode(&FeedMsg::Open { feed: opened })).await.is_err() {
@@ -30,8 +30,8 @@
     loop {
         tokio::select! {
             got = items.recv() => match got {
-                Some(v) => {
-                    if wire.send(encode(&FeedMsg::Items(v))).await.is_err() {
+                Some(frame) => {
+                    if wire.send(frame).await.is_err() {
                         return;
                     }
                 }
--- a/crates/control-cell/src/owner/feed.rs
+++ b/crates/control-cell/src/owner/feed.rs
@@ -4,6 +4,8 @@
 use crate::prelude::*;
 
 const KEPT: usize = 64;
+/// Bytes of configurations among them: a few of the largest.
+const KEPT_BYTES: usize = 10 << 20;
 
 /// Invariants: `no` is the newest number given; `recent` holds the newest items without a gap; a
 /// follower that doesn't keep up is left out rather than waited for.
@@ -11,7 +13,7 @@
     pub id: u64,
     pub no: u64,
     pub recent: VecDeque<Numbered>,
-    pub followers: Vec<mpsc::Sender<Vec<Numbered>>>,
+    pub followers: Vec<(Topics, mpsc::Sender<Bytes>)>,
     pub next_beat: Instant,
 }
 
@@ -31,12 +33,26 @@
     pub fn publish(&mut self, item: FeedItem) {
         self.no += 1;
         let n = Numbered { no: self.no, item };
-        self.followers.retain(|f| f.try_send(vec![n.clone()]).is_ok());
+        self.send(&n);
         self.recent.push_back(n);
-        if self.recent.len() > KEPT {
-            self.recent.pop_front();
+        let mut bytes: usize = self.recent.iter().map(|n| n.item.body_bytes()).sum();
+        while self.recent.len() > KEPT || (bytes > KEPT_BYTES && self.recent.len() > 1) {
+            let gone = self.recent.pop_front();
+            bytes -= gone.map_or(0, |n| n.item.body_bytes());
         }
     }
+
+    /// One frame for all followers: a large item isn't copied or encoded again for each.
+    fn send(&mut self, n: &Numbered) {
+        if self.followers.is_empty() {
+            return;
+        }
+        let frame = encode(&FeedMsg::Items(vec![n.clone()]));
+        self.followers.retain(|(topics, f)| match n.item.is_of(*topics) {
+            true => f.try_send(frame.clone()).is_ok(),
+            false => !f.is_closed(),
+        });
+    }
 }
 
 impl Owner {
@@ -70,12 +86,21 @@
     }
 
     pub fn publish_cells(&mut self, index: u64) {
-        let addrs = self.agree.log.members().iter().map(|m| m.addr.clone()).collect();
-        self.feed.publish(FeedItem::Cells { index, addrs });
+        let item = self.cells_item(index);
+        self.feed.publish(item);
+    }
+
+    fn cells_item(&self, index: u64) -> FeedItem {
+        let members = self.agree.log.members();
+        FeedItem::Cells {
+            index,
+            addrs: members.iter().map(|m| m.addr.clone()).collect(),
+            zones: members.iter().map(|m| m.area.clone()).collect(),
+        }
     }
 
     /// Opens a follower's feed: from its place when it is still here, else from a snapshot.
-    pub fn open_feed(&mut self, feed: u64, no: u64) -> (FeedReceiver, u64) {
+    pub fn open_feed(&mut self, feed: u64, no: u64, topics: Topics) -> (FeedReceiver, u64) {
         let (tx, rx) = mpsc::channel(256);
         let oldest = self.feed.recent.front().map_or(self.feed.no + 1, |n| n.no);
         let mut items: Vec<Numbered> = Vec::new();
@@ -87,14 +112,14 @@
             if self.state.stores.serial > 0 {
                 list.push(FeedItem::Stores(self.state.stores.clone()));
             }
-            let addrs = self.agree.log.members().iter().map(|m| m.addr.clone()).collect();
-            list.push(FeedItem::Cells { index: self.agree.log.members_index(), addrs });
+            list.push(self.cells_item(self.agree.log.members_index()));
             list.extend(self.tables.values().cloned().map(FeedItem::Area));
             items.extend(list.into_iter().map(|item| Numbered { no: self.feed.no, item }));
         }
         items.push(Numbered { no: self.feed.no, item: FeedItem::Current });
-        let _ = tx.try_send(items);
-        self.feed.followers.push(tx);
+        items.retain(|n| n.item.is_of(topics));
+        let _ = tx.try_send(encode(&FeedMsg::Items(items)));
+        self.feed.followers.push((topics, tx));
         (rx, self.feed.id)
     }
 
@@ -111,7 +136,7 @@
         }
         self.feed.next_beat = now + Duration::from_millis(400);
         let n = Numbered { no: self.feed.no, item: FeedItem::Beat };
-        self.feed.followers.retain(|f| f.try_send(vec![n.clone()]).is_ok());
+        self.feed.send(&n);
     }
 
     // Areas.
--- a/crates/control-cell/src/owner/handle.rs
+++ b/crates/control-cell/src/owner/handle.rs
@@ -2,7 +2,8 @@
 use super::work::Owner;
 use crate::prelude::*;
 
-pub type FeedReceiver = mpsc::Receiver<Vec<Numbered>>;
+/// Encoded `FeedMsg::Items`.
+pub type FeedReceiver = mpsc::Receiver<Bytes>;
 
 pub enum CellCommand {
     Call(CellCall, oneshot::Sender<CellReply>),
@@ -15,6 +16,7 @@
     Follow {
         feed: u64,
         no: u64,
+        topics: Topics,
         reply: oneshot::Sender<Option<(FeedReceiver, u64)>>,
     },
     ReadConfig(oneshot::Sender<Option<Option<Bytes>>>),
@@ -75,9 +77,9 @@
         tokio::time::timeout(WITHIN, rx).await.ok()?.ok()?
     }
 
-    pub async fn follow(&self, feed: u64, no: u64) -> Option<(FeedReceiver, u64)> {
+    pub async fn follow(&self, feed: u64, no: u64, topics: Topics) -> Option<(FeedReceiver, u64)> {
         let (tx, rx) = oneshot::channel();
-        self.queue.send(CellCommand::Follow { feed, no, reply: tx }).await.ok()?;
+        self.queue.send(CellCommand::Follow { feed, no, topics, reply: tx }).await.ok()?;
         tokio::time::timeout(WITHIN, rx).await.ok()?.ok()?
     }
 
--- a/crates/control-cell/src/prelude.rs
+++ b/crates/control-cell/src/prelude.rs
@@ -6,7 +6,9 @@
 pub use inner_protocol::cells::{
     Body, CellCall, CellReply, CellTold, Change, Entry, Member, Msg, Outcome, RetireState, Snapshot,
 };
-pub use inner_protocol::feed::{AreaTable, EngineEntry, FeedItem, FeedMsg, FollowMsg, Numbered};
+pub use inner_protocol::feed::{
+    AreaTable, EngineEntry, FeedItem, FeedMsg, FollowMsg, Numbered, Topics,
+};
 pub use inner_protocol::prelude::*;
 pub use inner_protocol::stores::{StoreEntry, StoreSet, StoreState, StoreStatus};
 pub use operator_config::prelude::{check_config, Fault};
--- a/crates/feed-agent/src/lib.rs
+++ b/crates/feed-agent/src/lib.rs
@@ -11,7 +11,7 @@
         TcpListener::bind(&addr).await.map_err(|e| NodeError::Io { what: addr, source: e })?;
     let (tx, rx) = mpsc::channel(256);
     let (_word, no_word) = watch::channel(None);
-    tokio::spawn(follow_cells(FollowEnv::of_cells(&env), tx, no_word));
+    tokio::spawn(follow_cells(FollowEnv::of_cells_whole(&env), tx, no_word));
     let (open, opens) = mpsc::channel(16);
     tokio::spawn(serve::serve_proxy(listener, open));
     let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
--- a/crates/feed-follow/src/link/mod.rs
+++ b/crates/feed-follow/src/link/mod.rs
@@ -13,12 +13,15 @@
     pub feed_port: u16,
     /// The seeds are all there is: cells told by the feed aren't followed.
     pub fixed: bool,
+    /// The follower's own zone.
+    pub zone: String,
+    pub topics: Topics,
     /// Silence after which the link moves.
     pub silence: Duration,
 }
 
 impl FollowEnv {
-    /// Follows the cells that the settings name, and those they tell of.
+    /// Follows the cells that the settings name, and those they tell of, for the store set only.
     pub fn of_cells(env: &NodeEnv) -> Self {
         let cell = |s: &SocketAddr| env.inner_addr(&s.ip().to_string(), CELL_PORT);
         FollowEnv {
@@ -26,9 +29,16 @@
             seeds: env.seeds.iter().map(cell).collect(),
             feed_port: env.internal_ports.0 + FEED_PORT,
             fixed: false,
+            zone: env.area.clone(),
+            topics: Topics::Stores,
             silence: Duration::from_millis(1000),
         }
     }
+
+    /// The same, for everything.
+    pub fn of_cells_whole(env: &NodeEnv) -> Self {
+        FollowEnv { topics: Topics::All, ..FollowEnv::of_cells(env) }
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -53,30 +63,23 @@
     out: mpsc::Sender<News>,
     mut status: watch::Receiver<Option<StoreStatus>>,
 ) {
-    let mut cells: (u64, Vec<String>) = (0, env.seeds.clone());
-    let mut turn = 0usize;
+    let zone = if env.fixed { "" } else { &env.zone };
+    let mut cells = CellRank::new(&env.name, zone, &env.seeds);
+    let began = Instant::now();
     let mut place = (0u64, 0u64);
     let mut pause = Backoff::new(Duration::from_millis(40), Duration::from_millis(160));
     let mut feed = Feed.uninitialized_state_machine().init();
     while !out.is_closed() {
-        // Rendezvous ranks the cells for this node; those tried in vain go to the end of the row.
-        let mut row: Vec<&String> = cells.1.iter().collect();
-        let key = fnv64(env.name.as_bytes());
-        let rank = rank_by_rendezvous(key, row.iter().map(|a| fnv64(a.as_bytes())));
-        row.sort_by_key(|a| rank.iter().position(|h| *h == fnv64(a.as_bytes())));
-        if turn % 6 == 5 {
-            row = env.seeds.iter().collect();
-        }
-        let Some(cell) = row.get(turn % row.len().max(1)) else {
+        let Some(cell) = cells.next().cloned() else {
             return;
         };
-        let addr = feed_addr(cell, env.feed_port);
+        let addr = feed_addr(&cell, env.feed_port);
         feed.handle(&FeedEvent::Try);
         if let Ok(s) = connect(&addr, CONNECT, QUIET).await {
             feed.handle(&FeedEvent::Linked);
             let mut wire = frame_stream(s);
-            let _ = run_link(&env, &mut wire, &mut place, &mut cells, &mut feed, &out, &mut status)
-                .await;
+            let mut at = LinkAt { cell: &cell, began, place: &mut place, cells: &mut cells };
+            let _ = run_link(&env, &mut wire, &mut at, &mut feed, &out, &mut status).await;
         }
         let followed = matches!(feed.state(), FeedState::Following {});
         feed.handle(&FeedEvent::Lost);
@@ -86,21 +89,33 @@
                 return;
             }
         }
-        turn += 1;
+        cells.ended();
         tokio::time::sleep(pause.next_pause()).await;
     }
 }
 
+/// Where a link stands: the cell, the place in its feed, and the other cells.
+struct LinkAt<'a> {
+    cell: &'a str,
+    began: Instant,
+    place: &'a mut (u64, u64),
+    cells: &'a mut CellRank,
+}
+
 async fn run_link(
     env: &FollowEnv,
     wire: &mut Wire,
-    place: &mut (u64, u64),
-    cells: &mut (u64, Vec<String>),
+    at: &mut LinkAt<'_>,
     feed: &mut InitializedStateMachine<Feed>,
     out: &mpsc::Sender<News>,
     status: &mut watch::Receiver<Option<StoreStatus>>,
 ) -> Option<()> {
-    let hello = FollowMsg::Follow { name: env.name.clone(), feed: place.0, no: place.1 };
+    let hello = FollowMsg::Follow {
+        name: env.name.clone(),
+        feed: at.place.0,
+        no: at.place.1,
+        topics: env.topics,
+    };
     wire.send(encode(&hello)).await.ok()?;
     let mut last = Instant::now();
     let mut opened = 0;
@@ -126,23 +141,22 @@
                 last = Instant::now();
                 match decode::<FeedMsg>(&got?.ok()?)? {
                     FeedMsg::Open { feed: id } => {
-                        if id != place.0 {
-                            *place = (id, 0);
+                        if id != at.place.0 {
+                            *at.place = (id, 0);
                         }
                         opened = id;
                     }
                     FeedMsg::Items(items) => {
                         let mut list = Vec::with_capacity(items.len());
                         for n in items {
-                            place.1 = place.1.max(n.no);
+                            at.place.1 = at.place.1.max(n.no);
                             match &n.item {
-                                FeedItem::Cells { index, addrs }
-                                    if !env.fixed && *index >= cells.0 && !addrs.is_empty() =>
-                                {
-                                    *cells = (*index, addrs.clone());
+                                FeedItem::Cells { index, addrs, zones } if !env.fixed => {
+                                    at.cells.learn(*index, addrs, zones);
                                 }
                                 FeedItem::Current => {
                                     feed.handle(&FeedEvent::Current);
+                                    at.cells.following(at.cell);
                                 }
                                 _ => {}
                             }
@@ -153,6 +167,10 @@
                         if !list.is_empty() {
                             out.send(News::Items(list)).await.ok()?;
                         }
+                        let told = matches!(feed.state(), FeedState::Following {});
+                        if told && at.cells.goes_home(at.cell, at.began.elapsed()) {
+                            return None;
+                        }
                     }
                 }
             }
--- a/crates/feed-follow/src/view/mod.rs
+++ b/crates/feed-follow/src/view/mod.rs
@@ -40,7 +40,7 @@
                 }
                 newer
             }
-            FeedItem::Cells { index, addrs } => {
+            FeedItem::Cells { index, addrs, .. } => {
                 let newer = *index > self.cells.0 || self.cells.1.is_empty();
                 if newer {
                     self.cells = (*index, addrs.clone());
@@ -62,7 +62,11 @@
             out.push(FeedItem::Stores(self.stores.clone()));
         }
         out.extend(self.areas.values().cloned().map(FeedItem::Area));
-        out.push(FeedItem::Cells { index: self.cells.0, addrs: self.cells.1.clone() });
+        out.push(FeedItem::Cells {
+            index: self.cells.0,
+            addrs: self.cells.1.clone(),
+            zones: Vec::new(),
+        });
         out
     }
 }
--- a/crates/inner-protocol/src/feed.rs
+++ b/crates/inner-protocol/src/feed.rs
@@ -34,10 +34,13 @@
     },
     Stores(StoreSet),
     Area(AreaTable),
-    /// Addresses of the cells, by log index.
+    /// Addresses of the cells, by log index, and in the same order the zone of each ("" where it
+    /// isn't known yet).
     Cells {
         index: u64,
         addrs: Vec<String>,
+        #[serde(default)]
+        zones: Vec<String>,
     },
     /// All that was sent before is confirmed current by a majority of the core.
     Current,
@@ -45,6 +48,30 @@
     Beat,
 }
 
+/// What a follower needs of the feed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Topics {
+    #[default]
+    All,
+    /// The store set and the cells: no configurations, no engines.
+    Stores,
+}
+
+impl FeedItem {
+    /// Bytes of a configuration's body; 0 for all else, which is small.
+    pub fn body_bytes(&self) -> usize {
+        match self {
+            FeedItem::Config { body, .. } => body.len(),
+            _ => 0,
+        }
+    }
+
+    /// Whether a follower that wants `topics` is told of this item.
+    pub fn is_of(&self, topics: Topics) -> bool {
+        topics == Topics::All || !matches!(self, FeedItem::Config { .. } | FeedItem::Area(_))
+    }
+}
+
 /// One item with its number in this cell's feed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Numbered {
@@ -59,6 +86,8 @@
         name: String,
         feed: u64,
         no: u64,
+        #[serde(default)]
+        topics: Topics,
     },
     Announce {
         status: StoreStatus,
--- a/crates/request-proxy/src/app/feed.rs
+++ b/crates/request-proxy/src/app/feed.rs
@@ -11,6 +11,8 @@
         seeds: vec!["127.0.0.1".into()],
         feed_port: app.env.internal_ports.0 + AGENT_PORT,
         fixed: true,
+        zone: app.env.area.clone(),
+        topics: Topics::All,
         silence: Duration::from_secs(3600),
     };
     tokio::spawn(follow_cells(follow, tx, no_word));
--- a/crates/request-proxy/src/prelude.rs
+++ b/crates/request-proxy/src/prelude.rs
@@ -5,7 +5,7 @@
 pub use crate::relay::{EventFault, EventReader, RelayBody};
 pub use crate::sending::{Lease, Pool, SendOutcome};
 pub use crate::turns::{OpenAsk, OpenFault, OpenLedger, Opened, TurnBank, TurnClose};
-pub use feed_follow::prelude::{follow_cells, FeedItem, FeedView, FollowEnv, News};
+pub use feed_follow::prelude::{follow_cells, FeedItem, FeedView, FollowEnv, News, Topics};
 pub use http::request::Parts as RequestParts;
 pub use http::{HeaderMap, HeaderValue};
 pub use inner_protocol::prelude::*;
