--- a/crates/request-proxy/src/prelude.rs
+++ b/crates/request-proxy/src/prelude.rs
@@ -7,7 +7,7 @@
 pub use crate::turns::{
     ChainCache, OpenAsk, OpenFault, OpenLedger, OpenStep, Opened, TurnBank, TurnClose,
 };
-pub use feed_follow::prelude::{follow_cells, FeedItem, FeedView, FollowEnv, News};
+pub use feed_follow::prelude::{follow_cells, FeedItem, FeedView, FollowEnv, News, Topics};
 pub use http::request::Parts as RequestParts;
 pub use http::{HeaderMap, HeaderValue};
 pub use inner_protocol::prelude::*;
