Detect failing engines from one table of evidence; bound ejections and second sends

Cause: an engine was avoided for 0.3 s after a failure, whatever its kind. Broken streams, streams that stalled, sends given up by their clients and a 5xx of its own counted for nothing, slowness only through the learned pace, and every reset lowered one idle time for all services, for good.

Change: session-index/evidence holds a row an engine, fed by real requests only: failures by kind, times against the pool's, silence while it lasts. Its cost beside the pool's goes into the election; outliers are ejected, at most a third of a service, and come back over probes that are real requests; the time out doubles with each ejection and shrinks in calm. Second sends have a token bucket a service. Idle lives of connections are learned a service, and a reset beyond them counts against the connection.

--- a/crates/request-proxy/src/app/feed.rs
+++ b/crates/request-proxy/src/app/feed.rs
@@ -36,6 +36,7 @@
     tokio::spawn(async move {
         loop {
             tokio::time::sleep(Duration::from_secs(5)).await;
+            app.tell_notes();
             let now = app.now();
             locked(&app.sched).index.sweep(now);
             app.pool.sweep(Instant::now());
--- a/crates/request-proxy/src/app/mod.rs
+++ b/crates/request-proxy/src/app/mod.rs
@@ -98,6 +98,24 @@
         self.hand_out(next);
     }
 
+    /// Tells operators which engines were ejected and which are back.
+    pub fn tell_notes(&self) {
+        let mut sched = locked(&self.sched);
+        for n in sched.evidence.take_notes() {
+            let id = sched.engines.get(n.key).map_or("gone", |e| &e.id);
+            let service = &*n.service;
+            match n.kind {
+                NoteKind::Ejected { why, span } => {
+                    let ms = span.as_millis() as u64;
+                    info!("engine ejected: {}", why, kv: { engine = id, service = service, for_ms = ms });
+                }
+                NoteKind::Returned => {
+                    info!("engine returned", kv: { engine = id, service = service });
+                }
+            }
+        }
+    }
+
     pub fn pump(&self) {
         let next = locked(&self.sched).pump(self.now());
         self.hand_out(next);
--- a/crates/request-proxy/src/flow/plain.rs
+++ b/crates/request-proxy/src/flow/plain.rs
@@ -3,7 +3,7 @@
 use super::Job;
 use crate::app::locked;
 use crate::prelude::*;
-use crate::sending::{keep_alive, passed_on, send_once};
+use crate::sending::{keep_alive, passed_on, send_once, Outgoing};
 
 const MOST_ANSWER: usize = 64 << 20;
 
@@ -15,7 +15,7 @@
         elsewhere: bool,
     },
     /// It may have run; there is no answer.
-    Lost(&'static str),
+    Lost(&'static str, FailureKind),
     Late,
 }
 
@@ -27,6 +27,9 @@
     request_id: String,
     until: Instant,
     urgency: u8,
+    repeatable: bool,
+    /// The hash of the route's name.
+    route: u64,
 }
 
 type Sending = Pin<Box<dyn Future<Output = (EngineKey, Came)> + std::marker::Send>>;
@@ -35,16 +38,15 @@
     async fn run(self, held: Held, g: Grant) -> (EngineKey, Came) {
         let app = self.app;
         let at = Instant::now();
-        let out = send_once(
-            &app,
-            &g,
-            &self.parts,
-            &self.body,
-            &self.request_id,
-            self.until,
-            self.urgency,
-        )
-        .await;
+        let sent = Outgoing {
+            parts: &self.parts,
+            body: &self.body,
+            request_id: &self.request_id,
+            until: self.until,
+            urgency: self.urgency,
+            repeatable: self.repeatable,
+        };
+        let out = send_once(&app, &g, sent).await;
         let came = match out {
             SendOutcome::Answer(res, lease) => {
                 let ka = keep_alive(res.headers());
@@ -53,29 +55,32 @@
                 match tokio::time::timeout_at(self.until.into(), read).await {
                     Ok(Ok(b)) => {
                         app.pool.give_back(lease, ka);
-                        if let Some(e) = locked(&app.sched).engines.get_mut(g.key) {
-                            e.pace.worked(at.elapsed());
-                            e.failures = 0;
+                        let mut sched = locked(&app.sched);
+                        match head.status.is_server_error() {
+                            true => sched.failed(&g, FailureKind::ServerError, app.now()),
+                            false => sched.worked(&g, at.elapsed(), self.route, app.now()),
                         }
+                        drop(sched);
                         let mut r = Response::new(ProxyBody::Whole(Some(b.to_bytes())));
                         *r.status_mut() = head.status;
                         *r.headers_mut() = passed_on(&head.headers);
                         Came::Answer(r)
                     }
-                    Ok(Err(_)) => Came::Lost("the answer broke off"),
+                    Ok(Err(_)) => Came::Lost("the answer broke off", FailureKind::Reset),
                     Err(_) => Came::Late,
                 }
             }
             SendOutcome::NotRun { reached, elsewhere } => Came::NotRun { reached, elsewhere },
-            SendOutcome::MayHaveRun(why) => Came::Lost(why),
+            SendOutcome::MayHaveRun(why, kind) => Came::Lost(why, kind),
             SendOutcome::Late => Came::Late,
         };
         let now = app.now();
         let mut sched = locked(&app.sched);
         match &came {
-            Came::Answer(_) => {}
-            Came::NotRun { reached, elsewhere } => sched.not_run(g.key, *reached, *elsewhere, now),
-            Came::Lost(_) | Came::Late => sched.failed(g.key, now),
+            Came::NotRun { reached, elsewhere } => sched.not_run(&g, *reached, *elsewhere, now),
+            Came::Lost(_, kind) => sched.failed(&g, *kind, now),
+            // The grant's end tells whether being late was the engine's silence.
+            Came::Answer(_) | Came::Late => {}
         }
         drop(sched);
         drop(held);
@@ -86,8 +91,9 @@
 /// A repeatable request is sent to a second engine when the first stays silent for well beyond what
 /// its work takes; the first goes on by itself, and whichever answers first is heard.
 fn silent_after(job: &Job<'_>, g: &Grant) -> Duration {
-    let work = locked(&job.app.sched).engines.get(g.key).map_or(100.0, |e| e.pace.work_ms);
-    let long = Duration::from_secs_f64(work * 4.0 / 1e3);
+    // Measured by the pool: a slow engine isn't given more time for being slow.
+    let work = locked(&job.app.sched).evidence.expected_work(&g.service);
+    let long = work * 4;
     long.min(job.way.aim.mul_f64(1.4)).clamp(LEAST_SILENT, (job.left() / 2).max(LEAST_SILENT))
 }
 
@@ -108,6 +114,8 @@
             request_id: job.head.request_id.to_string(),
             until: job.until,
             urgency: job.urgency(),
+            repeatable,
+            route: fnv64(job.way.name.as_bytes()),
         };
         Box::pin(send.run(held, g))
     };
@@ -120,6 +128,9 @@
         let Some(g) = held.grant().cloned() else {
             return Err(OwnAnswer::shed(100, "no engine can take it in time"));
         };
+        if tried.is_empty() {
+            locked(&app.sched).evidence.first_send(&job.service, app.now());
+        }
         let silent = silent_after(job, &g);
         let first_key = g.key;
         let mut first = begin(held, g);
@@ -142,7 +153,8 @@
                 let again = r.status().is_server_error()
                     && repeatable
                     && sends < job.way.most_sends
-                    && !job.left().is_zero();
+                    && !job.left().is_zero()
+                    && may_repeat(job);
                 if !again {
                     return Ok(r);
                 }
@@ -152,13 +164,13 @@
                 sends += u32::from(reached && !elsewhere);
                 unreached += u32::from(!reached || elsewhere);
             }
-            Came::Lost(why) => {
+            Came::Lost(why, _) => {
                 debug!("{}: {}", job.head.request_id, why);
-                if !repeatable {
-                    return Err(OwnAnswer::Lost(why));
-                }
                 sends += 1;
                 lost = Some(why);
+                if !repeatable || sends >= job.way.most_sends || !may_repeat(job) {
+                    return Err(OwnAnswer::Lost(why));
+                }
             }
             Came::Late => return Err(OwnAnswer::Late),
         }
@@ -186,9 +198,16 @@
         slack: job.slack(),
         budget: job.left(),
         tried: tried.to_vec(),
+        may_probe: job.way.kind == WayKind::Idempotent || job.way.priority > 1,
     }
 }
 
+/// Takes a second send out of the service's retry budget. Requests that certainly did not run are sent
+/// elsewhere without it: their engines did no work for them.
+fn may_repeat(job: &Job<'_>) -> bool {
+    locked(&job.app.sched).evidence.may_repeat(&job.service, job.app.now())
+}
+
 /// Runs a second send beside a silent first one.
 async fn second(
     job: &Job<'_>,
@@ -196,6 +215,9 @@
     tried: &mut Vec<EngineKey>,
     begin: &impl Fn(Held, Grant) -> Sending,
 ) -> (EngineKey, Came) {
+    if !may_repeat(job) {
+        return first.await;
+    }
     let Ok(held) = place(job, ask_of(job, tried)).await else {
         return first.await;
     };
--- a/crates/request-proxy/src/flow/turn.rs
+++ b/crates/request-proxy/src/flow/turn.rs
@@ -4,7 +4,7 @@
 use crate::app::locked;
 use crate::prelude::*;
 use crate::relay::StreamEnd;
-use crate::sending::{keep_alive, passed_on, send_once};
+use crate::sending::{keep_alive, passed_on, send_once, Outgoing};
 
 /// A reservation that is given back unless the turn gets under way.
 struct Reserved {
@@ -113,6 +113,7 @@
             slack: job.slack(),
             budget: job.left(),
             tried: tried.clone(),
+            may_probe: job.way.priority > 0,
         };
         let held = place(job, ask).await?;
         let Some(g) = held.grant().cloned() else {
@@ -125,7 +126,10 @@
         let alone = locked(&app.sched).engines.get(g.key).is_some_and(|e| e.own <= 2);
         let sent_at = Instant::now();
         let id = head.request_id;
-        let out = send_once(app, &g, job.parts, &whole, id, job.until, job.urgency()).await;
+        let (parts, until, urgency) = (job.parts, job.until, job.urgency());
+        let sent =
+            Outgoing { parts, body: &whole, request_id: id, until, urgency, repeatable: false };
+        let out = send_once(app, &g, sent).await;
         match out {
             SendOutcome::Answer(res, lease) => {
                 let ka = keep_alive(res.headers());
@@ -135,6 +139,9 @@
                 *r.headers_mut() = passed_on(&rh.headers);
                 if rh.status != StatusCode::OK {
                     let read = Limited::new(inner, 1 << 20).collect();
+                    if rh.status.is_server_error() {
+                        locked(&app.sched).failed(&g, FailureKind::ServerError, app.now());
+                    }
                     return match tokio::time::timeout_at(job.until.into(), read).await {
                         Ok(Ok(b)) => {
                             app.pool.give_back(lease, ka);
@@ -171,6 +178,7 @@
                     retention: job.way.retention,
                     stride: engine.map_or(1, |e| e.stride),
                     sent_at,
+                    gap_aim: job.way.gap_aim,
                     until: job.until,
                     alone,
                     request_id: id.to_string(),
@@ -183,7 +191,7 @@
             SendOutcome::NotRun { reached, elsewhere } => {
                 let now = app.now();
                 let mut sched = locked(&app.sched);
-                sched.not_run(g.key, reached, elsewhere, now);
+                sched.not_run(&g, reached, elsewhere, now);
                 if let Some(s) = head.session {
                     sched.index.dropped(s);
                 }
@@ -192,9 +200,9 @@
                 sends += u32::from(reached && !elsewhere);
                 unreached += u32::from(!reached || elsewhere);
             }
-            SendOutcome::MayHaveRun(why) => {
+            SendOutcome::MayHaveRun(why, kind) => {
                 debug!("{}: {} at engine {}", id, why, g.id);
-                locked(&app.sched).failed(g.key, app.now());
+                locked(&app.sched).failed(&g, kind, app.now());
                 return Err(OwnAnswer::Lost(why));
             }
             SendOutcome::Late => return Err(OwnAnswer::Late),
--- a/crates/request-proxy/src/prelude.rs
+++ b/crates/request-proxy/src/prelude.rs
@@ -15,7 +15,8 @@
 };
 pub use outer_calls::prelude::*;
 pub use session_index::prelude::{
-    chain_blocks, Ask, Block, EngineKey, Grant, Part, Placed, Reason, Scheduler, SchedulerTuning,
+    chain_blocks, Ask, Block, EngineKey, FailureKind, Grant, NoteKind, Part, Placed, Reason,
+    Scheduler, SchedulerTuning,
 };
 pub use spdlog::{debug, info, warn};
 pub use statig::prelude::{state_machine, InitializedStateMachine, IntoStateMachineExt};
--- a/crates/request-proxy/src/relay/body.rs
+++ b/crates/request-proxy/src/relay/body.rs
@@ -13,6 +13,8 @@
     pub retention: Duration,
     pub stride: u32,
     pub sent_at: Instant,
+    /// The longest pause between events that keeps the answer in time.
+    pub gap_aim: Duration,
     pub until: Instant,
     pub alone: bool,
     pub request_id: String,
@@ -39,6 +41,31 @@
     stage: Stage,
     was_read: bool,
     granted: bool,
+    pauses: Pauses,
+}
+
+/// When events came: the first, the last, and the longest pause between two.
+#[derive(Default)]
+struct Pauses {
+    first: Option<Instant>,
+    last: Option<Instant>,
+    longest: Duration,
+}
+
+impl Pauses {
+    fn event(&mut self) {
+        let now = Instant::now();
+        if let Some(l) = self.last {
+            self.longest = self.longest.max(now - l);
+        }
+        self.first.get_or_insert(now);
+        self.last = Some(now);
+    }
+
+    fn mean(&self, events: u32) -> Option<Duration> {
+        let span = self.last? - self.first?;
+        (events > 1).then(|| span / (events - 1))
+    }
 }
 
 /// After the last event, how long keeping the turn may take beyond the stream's time.
@@ -56,6 +83,7 @@
             stage: Stage::Relaying,
             was_read: false,
             granted: true,
+            pauses: Pauses::default(),
         }
     }
 
@@ -84,26 +112,27 @@
                     let Ok(b) = f.into_data() else { continue };
                     match self.reader.take(&b) {
                         Ok(Some(out)) => {
+                            self.pauses.event();
                             self.first_event();
                             return Poll::Ready(Some(Ok(out)));
                         }
                         Ok(None) => {}
                         Err(e) => {
                             debug!("{:?} in stream {}", e, self.end.request_id);
-                            return self.broke_off();
+                            return self.broke_off(Some(FailureKind::Spoiled));
                         }
                     }
                 }
-                Poll::Ready(Some(Err(_))) => return self.broke_off(),
+                Poll::Ready(Some(Err(_))) => return self.broke_off(Some(FailureKind::Reset)),
                 Poll::Ready(None) => {
                     if !self.reader.whole() || self.reader.events == 0 {
-                        return self.broke_off();
+                        return self.broke_off(Some(FailureKind::Reset));
                     }
                     self.finish();
                 }
                 Poll::Pending => {
                     if self.timer.as_mut().poll(cx).is_ready() {
-                        return self.broke_off();
+                        return self.broke_off(None);
                     }
                     return Poll::Pending;
                 }
@@ -134,7 +163,13 @@
         }
     }
 
-    fn broke_off(&mut self) -> Poll<Option<Result<Bytes, ()>>> {
+    /// `kind` is what the engine did; none when the stream's time is over.
+    fn broke_off(&mut self, kind: Option<FailureKind>) -> Poll<Option<Result<Bytes, ()>>> {
+        if let Some(kind) = kind {
+            self.inner = None;
+            let app = &self.end.app;
+            locked(&app.sched).failed(&self.end.grant, kind, app.now());
+        }
         info!("stream broke off", kv: { request = self.end.request_id, events = self.reader.events });
         self.drop_all();
         self.stage = Stage::Over;
@@ -148,6 +183,9 @@
             app.pool.give_back(l, self.end.keep_alive);
         }
         self.inner = None;
+        let (gap, longest) = (self.pauses.mean(self.reader.events), self.pauses.longest);
+        let aim = self.end.gap_aim;
+        locked(&app.sched).streamed(&self.end.grant, gap, longest, aim, app.now());
         if let Some(s) = &self.end.session {
             let mut sched = locked(&app.sched);
             let memory = self.end.grant.memory_limit;
@@ -172,7 +210,13 @@
 
     /// The stream came to nothing: its grant ends, and what was put out is settled.
     fn drop_all(&mut self) {
-        self.inner = None;
+        // A stream that has paused for far too long when the client leaves is the engine's doing.
+        let stalled = self.pauses.last.is_some_and(|l| l.elapsed() > self.end.gap_aim * 2);
+        let streaming = self.inner.take().is_some() && !self.end.gap_aim.is_zero();
+        if streaming && stalled {
+            let app = &self.end.app;
+            locked(&app.sched).failed(&self.end.grant, FailureKind::Silent, app.now());
+        }
         self.lease = None;
         if std::mem::replace(&mut self.granted, false) {
             self.end.app.end_grant(&self.end.grant, self.was_read);
--- a/crates/request-proxy/src/sending/mod.rs
+++ b/crates/request-proxy/src/sending/mod.rs
@@ -7,4 +7,4 @@
 pub use heads::{engine_request, passed_on};
 pub use judge::{judge, Verdict};
 pub use pool::{Lease, Pool};
-pub use send::{keep_alive, send_once, SendOutcome};
+pub use send::{keep_alive, send_once, Outgoing, SendOutcome};
--- a/crates/request-proxy/src/sending/pool.rs
+++ b/crates/request-proxy/src/sending/pool.rs
@@ -15,8 +15,6 @@
 /// that a handed-on address never gets an old connection's trust.
 pub struct Pool {
     rows: Mutex<HashMap<EngineKey, Vec<Idle>>>,
-    /// How long an engine that doesn't say is believed to keep an idle connection.
-    quiet: Mutex<Duration>,
 }
 
 /// A connection in use.
@@ -30,17 +28,22 @@
 const CONNECT: Duration = Duration::from_millis(350);
 const SILENT: Duration = Duration::from_millis(2500);
 const MOST_IDLE: usize = 16;
+/// Kept so long when an engine doesn't say; how long one may have been idle is learned by service.
+const MOST_KEEP: Duration = Duration::from_secs(4);
 
 impl Pool {
     pub fn new() -> Self {
-        Pool { rows: Mutex::new(HashMap::new()), quiet: Mutex::new(Duration::from_secs(4)) }
+        Pool { rows: Mutex::new(HashMap::new()) }
     }
 
-    pub fn take_idle(&self, key: EngineKey) -> Option<Lease> {
+    /// The connection used last, if it has been idle for no longer than `limit`.
+    pub fn take_idle(&self, key: EngineKey, limit: Duration) -> Option<Lease> {
         let mut rows = locked(&self.rows);
         let row = rows.get_mut(&key)?;
         let now = Instant::now();
-        while let Some(i) = row.pop() {
+        // The rest have been idle for longer; others may still use them.
+        while row.last().is_some_and(|i| now.duration_since(i.since) <= limit) {
+            let Some(i) = row.pop() else { break };
             let idle = now.duration_since(i.since);
             if i.sender.is_closed() || idle > i.keep || !i.sender.is_ready() {
                 continue;
@@ -68,7 +71,7 @@
         }
         let keep = match told {
             Some(t) => t.mul_f64(0.7),
-            None => *locked(&self.quiet),
+            None => MOST_KEEP,
         };
         let mut rows = locked(&self.rows);
         let row = rows.entry(l.key).or_default();
@@ -77,10 +80,9 @@
         }
     }
 
-    /// A kept connection was found closed after this idle time.
-    pub fn closed_after(&self, idle: Duration) {
-        let mut q = locked(&self.quiet);
-        *q = (*q).min(idle.mul_f64(0.7)).max(Duration::from_millis(200));
+    /// Lets go of an engine's kept connections.
+    pub fn forget(&self, key: EngineKey) {
+        locked(&self.rows).remove(&key);
     }
 
     pub fn sweep(&self, now: Instant) {
--- a/crates/request-proxy/src/sending/send.rs
+++ b/crates/request-proxy/src/sending/send.rs
@@ -2,6 +2,7 @@
 use super::heads::engine_request;
 use super::judge::{judge, Verdict};
 use super::pool::Lease;
+use crate::app::locked;
 use crate::prelude::*;
 
 pub enum SendOutcome {
@@ -10,29 +11,34 @@
     /// It certainly didn't run. `reached` tells that an engine answered so.
     NotRun { reached: bool, elsewhere: bool },
     /// It may have run, and no answer is to be had.
-    MayHaveRun(&'static str),
+    MayHaveRun(&'static str, FailureKind),
     /// Its time is over, no answer came.
     Late,
 }
 
 const NOT_REACHED: SendOutcome = SendOutcome::NotRun { reached: false, elsewhere: false };
 
-pub async fn send_once(
-    app: &App,
-    g: &Grant,
-    parts: &RequestParts,
-    body: &Bytes,
-    request_id: &str,
-    until: Instant,
-    urgency: u8,
-) -> SendOutcome {
+/// A request on its way out. Nothing is sent after `until`.
+pub struct Outgoing<'a> {
+    pub parts: &'a RequestParts,
+    pub body: &'a Bytes,
+    pub request_id: &'a str,
+    pub until: Instant,
+    pub urgency: u8,
+    /// It may run more than once.
+    pub repeatable: bool,
+}
+
+pub async fn send_once(app: &App, g: &Grant, out: Outgoing<'_>) -> SendOutcome {
+    let Outgoing { parts, body, request_id, until, urgency, repeatable } = out;
     // A kept connection may have been closed just now; a new one is tried then, and nothing has run.
     for fresh in [false, true] {
         let left = until.saturating_duration_since(Instant::now());
         if left < Duration::from_millis(2) {
             return NOT_REACHED;
         }
-        let kept = if fresh { None } else { app.pool.take_idle(g.key) };
+        let limit = locked(&app.sched).evidence.idle_limit(&g.service, repeatable, app.now());
+        let kept = if fresh { None } else { app.pool.take_idle(g.key, limit) };
         let lease = match kept {
             Some(l) => Some(l),
             None => app.pool.connect(g.key, g.addr, left).await,
@@ -42,24 +48,31 @@
         };
         let left = until.saturating_duration_since(Instant::now());
         let Some(req) = engine_request(parts, body, &g.id, left, urgency) else {
-            return SendOutcome::MayHaveRun("the head can't be passed on");
+            return SendOutcome::MayHaveRun("the head can't be passed on", FailureKind::Spoiled);
         };
         let sent = lease.sender.try_send_request(req);
         match tokio::time::timeout(left, sent).await {
             Err(_) => return SendOutcome::Late,
             Ok(Err(mut e)) => {
-                if lease.reused {
-                    app.pool.closed_after(lease.idle);
-                }
-                if e.take_message().is_none() {
-                    return SendOutcome::MayHaveRun("the engine broke off");
+                // Whatever the cause, its other kept connections are no better.
+                app.pool.forget(g.key);
+                let now = app.now();
+                let mut sched = locked(&app.sched);
+                let seen = &mut sched.evidence;
+                seen.idle_ended(&g.service, lease.idle, true, now);
+                // Idle for too long: the connection's fault, not the engine's.
+                let forgotten =
+                    lease.reused && lease.idle > seen.idle_limit(&g.service, false, now);
+                drop(sched);
+                if e.take_message().is_none() && !(forgotten && repeatable) {
+                    return SendOutcome::MayHaveRun("the engine broke off", FailureKind::Reset);
                 }
                 if !lease.reused {
                     return NOT_REACHED;
                 }
             }
             Ok(Ok(res)) => {
-                note_load(app, g.key, res.headers());
+                note_answer(app, g, &lease, res.headers());
                 return match judge(res.status().as_u16(), res.headers(), request_id) {
                     Verdict::Sound => SendOutcome::Answer(res, lease),
                     Verdict::NotRun => {
@@ -67,7 +80,7 @@
                         SendOutcome::NotRun { reached: true, elsewhere: false }
                     }
                     Verdict::Elsewhere => SendOutcome::NotRun { reached: true, elsewhere: true },
-                    Verdict::Spoiled(why) => SendOutcome::MayHaveRun(why),
+                    Verdict::Spoiled(why) => SendOutcome::MayHaveRun(why, FailureKind::Spoiled),
                 };
             }
         }
@@ -75,14 +88,17 @@
     NOT_REACHED
 }
 
-fn note_load(app: &App, key: EngineKey, h: &HeaderMap) {
+/// What any answer tells of its connection and its engine's load.
+fn note_answer(app: &App, g: &Grant, lease: &Lease, h: &HeaderMap) {
+    let now = app.now();
+    let mut sched = locked(&app.sched);
+    sched.evidence.idle_ended(&g.service, lease.idle, false, now);
     let Some(s) = h.get(names::LOAD).and_then(|v| v.to_str().ok()) else {
         return;
     };
     let mut it = s.split(',').map(|x| x.trim().parse::<u32>());
     if let (Some(Ok(run)), Some(Ok(wait)), Some(Ok(slots))) = (it.next(), it.next(), it.next()) {
-        let now = app.now();
-        if let Some(e) = crate::app::locked(&app.sched).engines.get_mut(key) {
+        if let Some(e) = sched.engines.get_mut(g.key) {
             e.told(run, wait, slots, now);
         }
     }
--- a/crates/session-index/src/engines/mod.rs
+++ b/crates/session-index/src/engines/mod.rs
@@ -33,9 +33,6 @@
     pub others: f64,
     pub reported: Duration,
     pub waiting: f64,
-    /// It turned away or failed lately: until then it is a last choice.
-    pub avoid: Duration,
-    pub failures: u32,
     /// When its own report may next be asked for.
     pub next_report: Duration,
     pub pace: Pace,
@@ -88,8 +85,9 @@
         self.by_service.get(service).into_iter().flatten().map(|i| &self.rows[*i])
     }
 
-    /// Takes an area's table; gives back the engines that are gone.
-    pub fn learn(&mut self, t: &AreaTable) -> Vec<EngineKey> {
+    /// Takes an area's table, and tells the evidence who has come and gone; gives back the engines that
+    /// are gone.
+    pub fn learn(&mut self, t: &AreaTable, evidence: &mut EvidenceTable) -> Vec<EngineKey> {
         let mut now: Vec<EngineKey> = Vec::new();
         for e in &t.engines {
             let Ok(addr) = e.addr.parse() else { continue };
@@ -97,7 +95,10 @@
             now.push(key);
             match self.get_mut(key) {
                 Some(r) => r.draining |= e.draining,
-                None => self.add(e, key, addr),
+                None => {
+                    self.add(e, key, addr);
+                    evidence.add(key, &Arc::from(e.service.as_str()), addr);
+                }
             }
         }
         let before = self.areas.insert(t.area.clone(), now.clone()).unwrap_or_default();
@@ -105,6 +106,7 @@
         for k in &gone {
             if let Some(i) = self.by_key.remove(k) {
                 let r = self.rows.remove(i);
+                evidence.remove(*k, !r.draining);
                 if let Some(v) = self.by_service.get_mut(&r.service) {
                     v.retain(|x| *x != i);
                 }
@@ -129,8 +131,6 @@
             others: 0.0,
             reported: Duration::ZERO,
             waiting: 0.0,
-            avoid: Duration::ZERO,
-            failures: 0,
             next_report: Duration::ZERO,
             pace: Pace::default(),
         });
--- a/crates/session-index/src/prelude.rs
+++ b/crates/session-index/src/prelude.rs
@@ -1,8 +1,13 @@
 //! The one module every file of this package imports.
 pub use crate::blocks::{chain_blocks, Block, Part};
 pub use crate::engines::{EngineKey, EngineRow, EngineTable, Pace};
+pub use crate::evidence::{
+    Admission, DecayingCount, EvidenceTable, FailureKind, IdleLife, Note, NoteKind, Observation,
+    RetryBudget, Standing, StandingEvent, StandingState,
+};
 pub use crate::index::{BlockRecord, CacheIndex, IndexTuning, Tier};
 pub use crate::scheduler::{Ask, Grant, Placed, Reason, Scheduler, SchedulerTuning};
 pub use inner_protocol::feed::{AreaTable, EngineEntry};
 pub use inner_protocol::prelude::*;
 pub use slab::Slab;
+pub use statig::prelude::{state_machine, InitializedStateMachine, IntoStateMachineExt};
--- a/crates/session-index/src/scheduler/elect.rs
+++ b/crates/session-index/src/scheduler/elect.rs
@@ -5,13 +5,30 @@
 const BESIDE_MS: f64 = 2.0;
 /// A request that waits there delays more.
 const BEHIND_MS: f64 = 25.0;
-const AVOID_MS: f64 = 4000.0;
+/// A probe is worth a detour.
+const PROBE_MS: f64 = 1000.0;
 /// A line leaves the engine that holds it only for a gain well above what reading anew may hide.
 const STAY_MS: f64 = 40.0;
 
 impl Scheduler {
     /// The engine that costs the request least, if any may take it now.
     pub(super) fn elect(&self, ask: &Ask, now: Duration) -> Option<Grant> {
+        self.elect_among(ask, now, false).or_else(|| {
+            // Ejected engines are used when there is no other left, not when the others are full.
+            let usable = |e: &EngineRow| !e.draining && !ask.tried.contains(&e.key);
+            let none = !self
+                .engines
+                .of_service(&ask.service)
+                .any(|e| usable(e) && self.evidence.admits(e.key, true, now) != Admission::Closed);
+            if none {
+                self.elect_among(ask, now, true)
+            } else {
+                None
+            }
+        })
+    }
+
+    fn elect_among(&self, ask: &Ask, now: Duration, ejected_too: bool) -> Option<Grant> {
         let hits = match ask.is_turn {
             true => self.index.look_up(&ask.blocks, now),
             false => Vec::new(),
@@ -23,6 +40,12 @@
             if e.draining || ask.tried.contains(&e.key) || !self.has_room(e, ask, now) {
                 continue;
             }
+            // A line that is held elsewhere would be read anew for a probe.
+            let fit = ask.may_probe && (!ask.is_turn || holder.is_none_or(|h| h == e.key));
+            let admission = self.evidence.admits(e.key, fit, now);
+            if admission == Admission::Closed && !ejected_too {
+                continue;
+            }
             // Nothing known of the line here, but its records name this engine: all but the newest
             // input is likely there.
             let mut hit = held(e.key);
@@ -31,7 +54,11 @@
                 hit = hit.max(before);
             }
             let cost = self.cost(e, ask, hit, now)
-                - if holder == Some(e.key) && hit > 0 { STAY_MS } else { 0.0 };
+                - if holder == Some(e.key) && hit > 0 { STAY_MS } else { 0.0 }
+                + match admission {
+                    Admission::Probe => -PROBE_MS,
+                    _ => self.evidence.cost(e.key, ask.is_turn, now),
+                };
             let better = match &best {
                 None => true,
                 Some((c, _, _)) => cost < *c - 1e-9,
@@ -51,14 +78,19 @@
         };
         Some(Grant {
             key: e.key,
+            serial: 0,
             id: e.id.clone(),
+            service: e.service.clone(),
             addr: e.addr,
             hit,
             fresh: if ask.is_turn { fresh } else { 0 },
             memory: if ask.is_turn { u64::from(ask.prompt_tokens + ask.most_out) } else { 0 },
             memory_limit: ask.memory_limit,
             reason,
-            expected_ms: e.pace.base_ms + f64::from(fresh) * e.pace.read_ms,
+            expected_ms: match ask.is_turn {
+                true => e.pace.base_ms + f64::from(fresh) * e.pace.read_ms,
+                false => self.evidence.expected_work(&e.service).as_secs_f64() * 1e3,
+            },
         })
     }
 
@@ -77,9 +109,6 @@
         if *e.area != *self.tuning.area {
             c += self.tuning.far_ms;
         }
-        if e.avoid > now {
-            c += AVOID_MS;
-        }
         let busy = e.busy(now);
         if ask.is_turn {
             let fresh = f64::from(ask.prompt_tokens.saturating_sub(hit));
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -27,6 +27,8 @@
     pub budget: Duration,
     /// Engines that already turned it away.
     pub tried: Vec<EngineKey>,
+    /// It may be repeated or isn't pressing: fit to find out whether an ejected engine is well again.
+    pub may_probe: bool,
 }
 
 /// Why a turn was placed where it was.
@@ -47,7 +49,10 @@
 #[derive(Debug, Clone)]
 pub struct Grant {
     pub key: EngineKey,
+    /// Names this send in the evidence.
+    pub serial: u64,
     pub id: Arc<str>,
+    pub service: Arc<str>,
     pub addr: SocketAddr,
     pub hit: u32,
     pub fresh: u32,
@@ -84,30 +89,38 @@
     }
 }
 
+/// A full engine turned a request away; one wasn't reached.
+const FULL: Duration = Duration::from_millis(120);
+const UNREACHED: Duration = Duration::from_millis(600);
+const LEAST_PATIENCE: Duration = Duration::from_millis(500);
 const REPORT_EVERY: Duration = Duration::from_secs(10);
 
 /// Invariants: every grant is ended exactly once; tickets in the waitlist are unknown elsewhere.
 pub struct Scheduler {
     pub engines: EngineTable,
+    pub evidence: EvidenceTable,
     pub index: CacheIndex,
     pub tuning: SchedulerTuning,
     waitlist: Waitlist,
     next_ticket: u64,
+    next_serial: u64,
 }
 
 impl Scheduler {
     pub fn new(tuning: SchedulerTuning) -> Self {
         Scheduler {
             engines: EngineTable::default(),
+            evidence: EvidenceTable::default(),
             index: CacheIndex::new(IndexTuning::default()),
             tuning,
             waitlist: Waitlist::default(),
             next_ticket: 0,
+            next_serial: 0,
         }
     }
 
     pub fn learn(&mut self, t: &AreaTable) {
-        for k in self.engines.learn(t) {
+        for k in self.engines.learn(t, &mut self.evidence) {
             self.index.forget_engine(k);
         }
     }
@@ -119,7 +132,7 @@
         let ahead = self.waitlist.is_waiting(&ask.service, ask.priority);
         if !ahead {
             if let Some(g) = self.elect(&ask, now) {
-                return Placed::Go(self.begin(&ask, g));
+                return Placed::Go(self.begin(&ask, g, now));
             }
         }
         let wait = self.expected_wait(&ask, now);
@@ -132,7 +145,13 @@
         Placed::Wait(ticket)
     }
 
-    fn begin(&mut self, ask: &Ask, g: Grant) -> Grant {
+    fn begin(&mut self, ask: &Ask, mut g: Grant, now: Duration) -> Grant {
+        self.next_serial += 1;
+        g.serial = self.next_serial;
+        // Plain work varies more by itself than the time to a first event does.
+        let times = if ask.is_turn { 3.0 } else { 5.0 };
+        let patience = Duration::from_secs_f64(g.expected_ms * times / 1e3).max(LEAST_PATIENCE);
+        self.evidence.begin(g.key, g.serial, patience, now);
         if let Some(e) = self.engines.get_mut(g.key) {
             e.own += 1;
             e.reading += u64::from(g.fresh);
@@ -146,11 +165,12 @@
 
     /// The prompt was read: the first event came.
     pub fn read(&mut self, g: &Grant, took: Duration, now: Duration, alone: bool) -> bool {
+        let first = Observation::FirstEvent { took, fresh: g.fresh };
+        self.evidence.observe(g.key, g.serial, first, now);
         let Some(e) = self.engines.get_mut(g.key) else {
             return true;
         };
         e.reading = e.reading.saturating_sub(u64::from(g.fresh));
-        e.failures = 0;
         let ms = took.as_secs_f64() * 1e3;
         // Far beyond what the held parts explain, on an engine that wasn't busy: it read them anew.
         let anew = f64::from(g.hit) * e.pace.read_ms;
@@ -168,6 +188,7 @@
 
     /// A grant ends. `fresh_left` tells that its prompt was never read.
     pub fn end(&mut self, g: &Grant, was_read: bool, now: Duration) -> Vec<(u64, Grant)> {
+        self.evidence.finish(g.key, g.serial, now);
         if let Some(e) = self.engines.get_mut(g.key) {
             e.own = e.own.saturating_sub(1);
             e.memory = e.memory.saturating_sub(g.memory);
@@ -185,7 +206,7 @@
         while let Some((ticket, ask)) = self.waitlist.next(&stuck) {
             match self.elect(&ask, now) {
                 Some(g) => {
-                    let g = self.begin(&ask, g);
+                    let g = self.begin(&ask, g, now);
                     self.waitlist.remove(ticket);
                     out.push((ticket, g));
                 }
@@ -234,32 +255,58 @@
     }
 
     /// A send didn't run: another engine lives there, the engine turned it away, or wasn't reached.
-    pub fn not_run(&mut self, key: EngineKey, reached: bool, elsewhere: bool, now: Duration) {
+    pub fn not_run(&mut self, g: &Grant, reached: bool, elsewhere: bool, now: Duration) {
         match (elsewhere, reached) {
-            (true, _) => self.replaced(key),
-            (false, true) => self.turned_away(key, now),
-            (false, false) => self.failed(key, now),
+            (true, _) => self.replaced(g.key, now),
+            (false, true) => self.turned_away(g, now),
+            (false, false) => {
+                self.evidence.avoid(g.key, UNREACHED, now);
+                self.failed(g, FailureKind::Refused, now);
+            }
         }
     }
 
-    fn turned_away(&mut self, key: EngineKey, now: Duration) {
-        if let Some(e) = self.engines.get_mut(key) {
-            e.avoid = now + Duration::from_millis(120);
-            e.others = e.others.max(f64::from(e.slots));
-            e.reported = now;
+    fn turned_away(&mut self, g: &Grant, now: Duration) {
+        let Some(e) = self.engines.get_mut(g.key) else { return };
+        let had_room = e.busy(now) < 0.6 * f64::from(e.slots);
+        self.evidence.avoid(g.key, FULL, now);
+        if had_room {
+            self.evidence.observe(g.key, g.serial, Observation::Failed(FailureKind::Refused), now);
+            return;
         }
+        e.others = e.others.max(f64::from(e.slots));
+        e.reported = now;
     }
 
     /// A send to it failed, or it can't be reached.
-    pub fn failed(&mut self, key: EngineKey, now: Duration) {
-        if let Some(e) = self.engines.get_mut(key) {
-            e.failures = (e.failures + 1).min(6);
-            e.avoid = now + Duration::from_millis(150) * 2u32.pow(e.failures);
+    pub fn failed(&mut self, g: &Grant, kind: FailureKind, now: Duration) {
+        self.evidence.observe(g.key, g.serial, Observation::Failed(kind), now);
+    }
+
+    /// A plain call's whole answer came.
+    pub fn worked(&mut self, g: &Grant, took: Duration, route: u64, now: Duration) {
+        if let Some(e) = self.engines.get_mut(g.key) {
+            e.pace.worked(took);
         }
+        self.evidence.observe(g.key, g.serial, Observation::Worked { took, route }, now);
+    }
+
+    /// A stream came whole.
+    pub fn streamed(
+        &mut self,
+        g: &Grant,
+        gap: Option<Duration>,
+        longest: Duration,
+        aim: Duration,
+        now: Duration,
+    ) {
+        let o = Observation::Streamed { gap, longest, aim };
+        self.evidence.observe(g.key, g.serial, o, now);
     }
 
     /// Another engine answers at this address.
-    fn replaced(&mut self, key: EngineKey) {
+    fn replaced(&mut self, key: EngineKey, now: Duration) {
+        self.evidence.replaced(key, now);
         if let Some(e) = self.engines.get_mut(key) {
             e.draining = true;
         }
--- a/crates/session-index/src/scheduler/tests.rs
+++ b/crates/session-index/src/scheduler/tests.rs
@@ -43,6 +43,7 @@
         slack: Duration::from_millis(200),
         budget: Duration::from_secs(6),
         tried: Vec::new(),
+        may_probe: false,
     }
 }
 
