--- a/crates/control-cell/src/owner/feed.rs
+++ b/crates/control-cell/src/owner/feed.rs
@@ -61,6 +61,7 @@
         self.publish_stores();
         let index = self.agree.log.members_index();
         self.publish_cells(index);
+        self.publish_trial();
         self.hold_areas();
         true
     }
@@ -113,6 +114,7 @@
                 list.push(FeedItem::Stores(self.state.stores.clone()));
             }
             list.push(self.cells_item(self.agree.log.members_index()));
+            list.extend(self.trial_item());
             list.extend(self.tables.values().cloned().map(FeedItem::Area));
             items.extend(list.into_iter().map(|item| Numbered { no: self.feed.no, item }));
         }
--- a/crates/feed-follow/src/link/mod.rs
+++ b/crates/feed-follow/src/link/mod.rs
@@ -18,6 +18,8 @@
     pub topics: Topics,
     /// Silence after which the link moves.
     pub silence: Duration,
+    /// How often this follower's word is told again when it hasn't changed.
+    pub repeat: Duration,
 }
 
 impl FollowEnv {
@@ -32,6 +34,7 @@
             zone: env.area.clone(),
             topics: Topics::Stores,
             silence: Duration::from_millis(1000),
+            repeat: Duration::from_millis(400),
         }
     }
 
@@ -58,10 +61,10 @@
 
 /// Follows until the receiver is gone. `status` is told to the cell whenever it changes, and each
 /// `repeat`.
-pub async fn follow_cells(
+pub async fn follow_cells<W: Into<FollowMsg> + Clone>(
     env: FollowEnv,
     out: mpsc::Sender<News>,
-    mut status: watch::Receiver<Option<StoreStatus>>,
+    mut status: watch::Receiver<Option<W>>,
 ) {
     let zone = if env.fixed { "" } else { &env.zone };
     let mut cells = CellRank::new(&env.name, zone, &env.seeds);
@@ -102,13 +105,13 @@
     cells: &'a mut CellRank,
 }
 
-async fn run_link(
+async fn run_link<W: Into<FollowMsg> + Clone>(
     env: &FollowEnv,
     wire: &mut Wire,
     at: &mut LinkAt<'_>,
     feed: &mut InitializedStateMachine<Feed>,
     out: &mpsc::Sender<News>,
-    status: &mut watch::Receiver<Option<StoreStatus>>,
+    status: &mut watch::Receiver<Option<W>>,
 ) -> Option<()> {
     let hello = FollowMsg::Follow {
         name: env.name.clone(),
@@ -125,10 +128,11 @@
     loop {
         if announce && opened != 0 {
             announce = false;
-            next_word = Instant::now() + Duration::from_millis(400);
+            next_word = Instant::now() + env.repeat;
             let word = status.borrow().clone();
-            if let Some(status) = word {
-                wire.send(encode(&FollowMsg::Announce { status })).await.ok()?;
+            if let Some(word) = word {
+                let msg: FollowMsg = word.into();
+                wire.send(encode(&msg)).await.ok()?;
             }
         }
         let mut wake = last + env.silence;
--- a/crates/request-proxy/src/flow/turn.rs
+++ b/crates/request-proxy/src/flow/turn.rs
@@ -97,6 +97,10 @@
     let blocks = chain_blocks(head.model.unwrap_or(""), head.parts.iter().cloned());
     let last = opened.chain.last();
     let program = head.program.unwrap_or("");
+    let (mark, seat) = app.trial.seat(job, last.map(|t| t.engine.as_str()));
+    if let Some(s) = &seat {
+        let _ = job.seat.set(s.clone());
+    }
     let mut tried: Vec<EngineKey> = Vec::new();
     let mut sends = 0;
     let mut unreached = 0;
@@ -105,7 +109,7 @@
             service: job.service.clone(),
             blocks: blocks.clone(),
             session: head.session.map(Into::into),
-            told_holder: last.map(|t| EngineKey::of(&t.engine)),
+            told_holder: last.map(|t| EngineKey::of(read_answered_by(&t.engine).0)),
             prompt_tokens: tokens.0,
             most_out: tokens.1,
             memory_limit: engine.map_or(0, |e| e.cache_tokens / 100 * 95),
@@ -115,6 +119,7 @@
             budget: job.left(),
             tried: tried.clone(),
             may_probe: job.way.priority > 0,
+            policy: Seat::policy(seat.as_ref()),
         };
         let held = place(job, ask).await?;
         let Some(g) = held.grant().cloned() else {
@@ -159,7 +164,7 @@
                         program: head.program.unwrap_or("").to_string(),
                         input: ByteBuf::from(input.to_vec()),
                         output: ByteBuf::new(),
-                        engine: g.id.to_string(),
+                        engine: write_answered_by(&g.id, mark),
                         line_tokens: tokens.0,
                         keep_ms: job.way.retention.as_millis() as u64,
                     },
@@ -188,6 +193,7 @@
                     request_id: id.to_string(),
                     turn,
                     keep_alive: ka,
+                    seat,
                 };
                 *r.body_mut() = ProxyBody::Relay(Box::new(RelayBody::new(inner, lease, end)));
                 return Ok(r);
--- a/crates/request-proxy/src/relay/body.rs
+++ b/crates/request-proxy/src/relay/body.rs
@@ -21,6 +21,8 @@
     /// The turn to keep, where the way retains turns.
     pub turn: Option<TurnClose>,
     pub keep_alive: Option<Duration>,
+    /// The turn's place in a routing trial.
+    pub seat: Option<Seat>,
 }
 
 type Closing = Pin<Box<dyn Future<Output = bool> + Send>>;
@@ -42,6 +44,7 @@
     was_read: bool,
     granted: bool,
     pauses: Pauses,
+    first_at: Option<Instant>,
 }
 
 /// When events came: the first, the last, and the longest pause between two.
@@ -84,6 +87,7 @@
             was_read: false,
             granted: true,
             pauses: Pauses::default(),
+            first_at: None,
         }
     }
 
@@ -95,6 +99,7 @@
                     Poll::Pending => return Poll::Pending,
                     Poll::Ready(kept) => {
                         self.stage = Stage::Over;
+                        self.came_to(kept);
                         if kept {
                             return Poll::Ready(None);
                         }
@@ -145,6 +150,7 @@
             return;
         }
         self.was_read = true;
+        self.first_at = Some(Instant::now());
         let app = &self.end.app;
         let now = app.now();
         let took = self.end.sent_at.elapsed();
@@ -171,11 +177,21 @@
             locked(&app.sched).failed(&self.end.grant, kind, app.now());
         }
         info!("stream broke off", kv: { request = self.end.request_id, events = self.reader.events });
+        self.came_to(false);
         self.drop_all();
         self.stage = Stage::Over;
         Poll::Ready(Some(Err(())))
     }
 
+    /// Counts the turn in a routing trial, once.
+    fn came_to(&mut self, whole: bool) {
+        let Some(s) = self.end.seat.take() else {
+            return;
+        };
+        let came = if whole { s.in_time(self.first_at) } else { Outcome::Broken };
+        self.end.app.trial.count(&s, came, whole && self.reader.holes > 0);
+    }
+
     /// The engine's stream has ended whole.
     fn finish(&mut self) {
         let app = self.end.app.clone();
@@ -198,7 +214,10 @@
             app.end_grant(&self.end.grant, self.was_read);
         }
         self.stage = match self.end.turn.take() {
-            None => Stage::Over,
+            None => {
+                self.came_to(true);
+                Stage::Over
+            }
             Some(mut t) => {
                 t.tokens = self.reader.events * self.end.stride;
                 t.record.output = ByteBuf::from(std::mem::take(&mut self.reader.output));
@@ -244,6 +263,9 @@
 
 impl Drop for RelayBody {
     fn drop(&mut self) {
+        if let Some(s) = self.end.seat.take() {
+            self.end.app.trial.count(&s, Outcome::Left, false);
+        }
         self.drop_all();
     }
 }
--- a/crates/session-index/src/scheduler/elect.rs
+++ b/crates/session-index/src/scheduler/elect.rs
@@ -2,16 +2,17 @@
 use super::prior::SharedPrior;
 use crate::prelude::*;
 
-/// Each request that runs beside slows a turn a little.
-const BESIDE_MS: f64 = 2.0;
-/// A request that waits there delays more.
-const BEHIND_MS: f64 = 25.0;
 /// A probe is worth a detour.
 const PROBE_MS: f64 = 1000.0;
-/// A line leaves the engine that holds it only for a gain well above what reading anew may hide.
-const STAY_MS: f64 = 40.0;
 
 impl Scheduler {
+    fn tuning_of(&self, ask: &Ask) -> &SchedulerTuning {
+        match (ask.policy, &self.trial) {
+            (Policy::Trial, Some(t)) => t,
+            _ => &self.tuning,
+        }
+    }
+
     /// The engine that costs the request least, if any may take it now.
     pub(super) fn elect(&self, ask: &Ask, now: Duration) -> Option<Grant> {
         self.elect_among(ask, now, false).or_else(|| {
@@ -57,7 +58,7 @@
             }
             let guessed = prior.tokens(e).saturating_sub(hit);
             let cost = self.cost(e, ask, hit + guessed, now)
-                - if holder == Some(e.key) && hit > 0 { STAY_MS } else { 0.0 }
+                - if holder == Some(e.key) && hit > 0 { self.tuning_of(ask).stay_ms } else { 0.0 }
                 + match admission {
                     Admission::Probe => -PROBE_MS,
                     _ => self.evidence.cost(e.key, ask.is_turn, now),
@@ -110,14 +111,15 @@
 
     fn cost(&self, e: &EngineRow, ask: &Ask, hit: u32, now: Duration) -> f64 {
         let mut c = 0.0;
-        if *e.area != *self.tuning.area {
-            c += self.tuning.far_ms;
+        let tuning = self.tuning_of(ask);
+        if *e.area != *tuning.area {
+            c += tuning.far_ms;
         }
         let busy = e.busy(now);
         if ask.is_turn {
             let fresh = f64::from(ask.prompt_tokens.saturating_sub(hit));
             c += (fresh + e.reading as f64) * e.pace.read_ms + (e.pace.base_ms - 80.0);
-            c += busy * BESIDE_MS + e.waiting.min(busy) * BEHIND_MS;
+            c += busy * tuning.beside_ms + e.waiting.min(busy) * tuning.behind_ms;
         } else {
             let slots = f64::from(e.slots.max(1));
             let over = (busy + 1.0 - slots).max(0.0);
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -30,6 +30,16 @@
     pub tried: Vec<EngineKey>,
     /// It may be repeated or isn't pressing: fit to find out whether an ejected engine is well again.
     pub may_probe: bool,
+    pub policy: Policy,
+}
+
+/// Under which tuning a request is placed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Policy {
+    #[default]
+    Current,
+    /// That of the routing trial, as long as there is one.
+    Trial,
 }
 
 /// Why a turn was placed where it was.
@@ -84,11 +94,26 @@
     pub most_waiting: usize,
     /// Sends an engine may have per slot before requests wait here.
     pub plain_depth: f64,
+    /// A line leaves the engine that holds it only for a gain, in ms of waiting, well above what
+    /// reading anew may hide.
+    pub stay_ms: f64,
+    /// Each request that runs beside slows a turn a little.
+    pub beside_ms: f64,
+    /// A request that waits there delays more.
+    pub behind_ms: f64,
 }
 
 impl Default for SchedulerTuning {
     fn default() -> Self {
-        SchedulerTuning { area: String::new(), far_ms: 25.0, most_waiting: 2000, plain_depth: 2.0 }
+        SchedulerTuning {
+            area: String::new(),
+            far_ms: 25.0,
+            most_waiting: 2000,
+            plain_depth: 2.0,
+            stay_ms: 40.0,
+            beside_ms: 2.0,
+            behind_ms: 25.0,
+        }
     }
 }
 
@@ -104,6 +129,11 @@
     pub evidence: EvidenceTable,
     pub index: CacheIndex,
     pub tuning: SchedulerTuning,
+    /// The candidate of a routing trial: no more is changed by it than which engine is elected.
+    pub trial: Option<Box<SchedulerTuning>>,
+    /// While there is a trial: admissions of a request while a more urgent one of the same service
+    /// waited. Each is a fault of this scheduler.
+    pub inversions: u64,
     waitlist: Waitlist,
     next_ticket: u64,
     next_serial: u64,
@@ -116,6 +146,8 @@
             evidence: EvidenceTable::default(),
             index: CacheIndex::new(IndexTuning::default()),
             tuning,
+            trial: None,
+            inversions: 0,
             waitlist: Waitlist::default(),
             next_ticket: 0,
             next_serial: 0,
@@ -149,6 +181,9 @@
     }
 
     fn begin(&mut self, ask: &Ask, mut g: Grant, now: Duration) -> Grant {
+        if self.trial.is_some() && self.waitlist.more_urgent(&ask.service, ask.priority) {
+            self.inversions += 1;
+        }
         self.next_serial += 1;
         g.serial = self.next_serial;
         // Plain work varies more by itself than the time to a first event does.
