A dead store's seat is given up at once by its replacement; whole without those that may be lost

Cause: a store machine was replaced by another just as it fell silent. Change: one more store is taken only while all others are heard; a store is whole when those missing and those lost are no more than tolerated and it knows every program it has; a store silent for long goes in any case.

--- a/crates/control-cell/src/duties/stores.rs
+++ b/crates/control-cell/src/duties/stores.rs
@@ -15,6 +15,9 @@
 const GONE: Duration = Duration::from_secs(20);
 /// A store is at work when it was heard within this.
 const AT_WORK: Duration = Duration::from_millis(1500);
+/// A store may be added only while every other was heard within this: one that is silent for longer may
+/// be the one that the newcomer replaces.
+const ALL_HEARD: Duration = Duration::from_millis(900);
 /// How long the first leader waits for stores before it founds the set.
 const FOUNDING: Duration = Duration::from_millis(1500);
 
@@ -64,7 +67,8 @@
             set.stores.iter().find(|e| e.name == st.name || e.addr == st.addr).or_else(|| {
                 set.stores.iter().find(|e| e.zone == st.zone && silent(e.id) > REPLACED)
             });
-        if old.is_none() && !settled {
+        let heard = set.stores.iter().all(|e| silent(e.id) < ALL_HEARD);
+        if old.is_none() && !(settled && heard) {
             continue;
         }
         let gone = old.map(|e| e.id);
@@ -73,21 +77,18 @@
             n.stores.push(entry(st, since));
         }));
     }
-    if !settled {
-        return None;
+    if set.seated() > set.group_size() {
+        if let Some(e) = set.stores.iter().find(|e| silent(e.id) > GONE) {
+            return Some(set.next(|n| n.stores.retain(|x| x.id != e.id)));
+        }
     }
     // Emptied: whatever it kept is whole with others.
-    if let Some(e) = set.stores.iter().find(|e| e.state == StoreState::Leaving) {
+    if let Some(e) = set.stores.iter().find(|e| settled && e.state == StoreState::Leaving) {
         return Some(set.next(|n| {
             n.stores.retain(|x| x.id != e.id);
             n.emptied.push(e.name.clone());
         }));
     }
-    if set.seated() > set.group_size() {
-        if let Some(e) = set.stores.iter().find(|e| silent(e.id) > GONE) {
-            return Some(set.next(|n| n.stores.retain(|x| x.id != e.id)));
-        }
-    }
     None
 }
 
--- a/crates/inner-protocol/src/stores/set.rs
+++ b/crates/inner-protocol/src/stores/set.rs
@@ -225,6 +225,18 @@
         !self.seatings[last..].iter().all(mine) || self.seatings[last..].windows(2).any(lost)
     }
 
+    /// How many stores went without giving back what they kept, since the last seating at which `me` was
+    /// whole, or since the one before it first had a seat.
+    pub fn lost_since(&self, me: u64, whole: Option<(u64, u64)>) -> usize {
+        let mine = |s: &Seating| s.seats.iter().any(|x| x.id == me);
+        let first = self.seatings.iter().position(mine).unwrap_or(0).saturating_sub(1);
+        let from = whole.and_then(|w| self.in_force(w.1)).unwrap_or(first);
+        let seated = self.seatings[from.min(self.seatings.len())..].iter().flat_map(|s| &s.seats);
+        let gone: BTreeSet<u64> =
+            seated.map(|s| s.id).filter(|id| *id != me && self.find(*id).is_none()).collect();
+        gone.len()
+    }
+
     /// The versions between which a store is whole after it was given all that the set's stores know.
     pub fn whole_after(&self, whole: Option<(u64, u64)>) -> (u64, u64) {
         let now = self.version;
--- a/crates/session-index/src/scheduler/prior/tests.rs
+++ b/crates/session-index/src/scheduler/prior/tests.rs
@@ -15,7 +15,8 @@
                 cold_ms: 0,
             })
             .collect();
-        t.learn(&AreaTable { area: zone.into(), epoch: 1, seq: 1, engines });
+        let table = AreaTable { area: zone.into(), epoch: 1, seq: 1, engines };
+        t.learn(&table, &mut EvidenceTable::default());
     }
     t
 }
@@ -35,6 +36,8 @@
         slack: Duration::from_millis(200),
         budget: Duration::from_secs(6),
         tried: Vec::new(),
+        may_probe: false,
+        policy: Policy::Current,
     }
 }
 
--- a/crates/session-index/src/scheduler/tests.rs
+++ b/crates/session-index/src/scheduler/tests.rs
@@ -251,11 +251,11 @@
     assert_eq!((next.len(), next[0].0, s.inversions), (1, waiting, 0));
     // One let past all the same is seen.
     assert!(matches!(s.place(plain(0, 100), NOW), Placed::Wait(_)));
-    s.begin(&plain(2, 1), grants[0].clone());
+    s.begin(&plain(2, 1), grants[0].clone(), NOW);
     assert_eq!(s.inversions, 1);
-    s.begin(&plain(0, 1), grants[0].clone());
+    s.begin(&plain(0, 1), grants[0].clone(), NOW);
     assert_eq!(s.inversions, 1, "as urgent");
     s.trial = None;
-    s.begin(&plain(2, 1), grants[0].clone());
+    s.begin(&plain(2, 1), grants[0].clone(), NOW);
     assert_eq!(s.inversions, 1, "no trial");
 }
--- a/crates/turn-store/src/knowledge/mod.rs
+++ b/crates/turn-store/src/knowledge/mod.rs
@@ -55,10 +55,23 @@
         if version >= in_force {
             self.given.insert(from, whole);
         }
-        let others = self.set.stores.iter().filter(|e| e.id != self.me);
-        if others.clone().all(|e| self.given.contains_key(&e.id)) {
-            self.whole = Some(self.set.whole_after(self.whole));
+    }
+
+    /// Whether this store is whole now: all others have given what they know, or those that are missing
+    /// and those that were lost are no more than may be, and it knows every program here (`keys`).
+    pub fn complete(&mut self, keys: impl Iterator<Item = u64>) -> bool {
+        if self.whole.is_some_and(|w| w.1 >= self.set.version) {
+            return false;
+        }
+        let missing = self.missing().len();
+        let lost = self.set.lost_since(self.me, self.whole);
+        let borne = missing + lost <= self.set.tolerated as usize;
+        let mut mine = keys.filter(|k| self.owes(self.me, *k));
+        if missing > 0 && !(borne && mine.all(|k| self.knows(k))) {
+            return false;
         }
+        self.whole = Some(self.set.whole_after(self.whole));
+        true
     }
 
     /// Stores that have not given everything yet, while this store is not whole.
@@ -70,7 +83,7 @@
         self.set.stores.iter().filter(lacks).cloned().collect()
     }
 
-    /// Whether another store is to be told of a program: it keeps it, and may not know it whole.
+    /// Whether a store keeps a program.
     pub fn owes(&self, to: u64, key: u64) -> bool {
         self.set.group(key).contains(&to)
     }
--- a/crates/turn-store/src/owner/work.rs
+++ b/crates/turn-store/src/owner/work.rs
@@ -222,8 +222,10 @@
                 merged.push(Merged::Turns(tx));
             }
             StoreCommand::Given { version, from, whole } => {
-                self.tables.knowledge.given(version, from, whole);
-                self.identify();
+                if self.tables.given(version, from, whole) {
+                    info!("whole under store set {}", self.tables.knowledge.set.version);
+                    self.identify();
+                }
             }
             StoreCommand::Missing(tx) => {
                 let k = &self.tables.knowledge;
--- a/crates/turn-store/src/tables/mod.rs
+++ b/crates/turn-store/src/tables/mod.rs
@@ -101,6 +101,12 @@
         }
     }
 
+    /// A store has given all it knows; true when this one is whole by that.
+    pub fn given(&mut self, version: u64, from: u64, whole: Option<(u64, u64)>) -> bool {
+        self.knowledge.given(version, from, whole);
+        self.knowledge.complete(self.programs.keys().map(|p| StoreSet::key_of(p)))
+    }
+
     /// Refuses what was made under another set than the one in force here.
     fn fenced(&self, version: u64) -> Option<StoreReply> {
         let set = &self.knowledge.set;
