Dispatcher: a settlement brings along its last send; replies are of different moments

Cause: trials of the model test gave a slot twice, rarely: a claim joined a reply from before a marker with one from after the settlement, at a store that missed the marker, and took the attempt for unsent. Change: a settlement without a stop names the last send, and so does an outcome that tells of it; an attempt without a marker or a stop holds its slot until its deadline. Tallies walk in a fixed order, so that a schedule plays the same each time.

--- a/crates/dispatcher/src/ledger/apply.rs
+++ b/crates/dispatcher/src/ledger/apply.rs
@@ -9,7 +9,12 @@
 
 fn settled(r: &AttemptRecord) -> Option<WriteOutcome> {
     let s = r.settlement.filter(|_| r.is_settled())?;
-    Some(WriteOutcome::AlreadySettled { epoch: s.epoch, tokens: s.tokens })
+    Some(WriteOutcome::AlreadySettled {
+        epoch: s.epoch,
+        tokens: s.tokens,
+        stopped: r.is_stopped(),
+        call: r.call.clone(),
+    })
 }
 
 impl ProgramLedger {
@@ -38,8 +43,9 @@
                 self.recover(part, s, *lease, now, lives)
             }
             LedgerWrite::Release { req, epoch } => refused(self.release(*req, *epoch)),
-            LedgerWrite::Settle { req, epoch, tokens, stopped } => {
-                self.settle(*req, *epoch, *tokens, *stopped, now)
+            LedgerWrite::Settle { req, epoch, tokens, stopped, call } => {
+                let call = call.as_ref().filter(|_| !*stopped);
+                self.settle(*req, *epoch, *tokens, *stopped, call, now)
             }
             LedgerWrite::ConfirmStopped { req, expected_epoch, call } => {
                 self.confirm_stopped(*req, *expected_epoch, *call, now)
@@ -156,18 +162,14 @@
             }
             part.join(r);
         }
-        let (invoke, most) = (part.invoke(), part.most);
-        let called_at = part.call.as_ref().map_or(Epoch::NONE, |c| c.at.0);
+        let (call, most) = (part.call.clone(), part.most);
         part.segment(s);
         let changed = self.take_in(&part, now, false);
         if let Some(row) = self.rows.get_mut(&req).filter(|r| r.local.granted != s.epoch) {
             row.local.granted = s.epoch;
             row.local.until = Some(now + lease);
         }
-        Applied {
-            outcome: WriteOutcome::Recovered { invoke, called_at, most },
-            log: changed.then_some(part),
-        }
+        Applied { outcome: WriteOutcome::Recovered { call, most }, log: changed.then_some(part) }
     }
 
     fn release(&mut self, req: u64, epoch: Epoch) -> WriteOutcome {
@@ -189,6 +191,7 @@
         epoch: Option<Epoch>,
         tokens: u32,
         stopped: bool,
+        call: Option<&Call>,
         now: Duration,
     ) -> Applied {
         let epoch = epoch.unwrap_or(Epoch::ANY_FIRST);
@@ -210,6 +213,7 @@
         }
         if had.is_none() {
             part.settlement = Some(Settlement { epoch, tokens });
+            part.call = call.cloned();
         }
         if stopped {
             part.stop = Some(CallPoint::all_of(epoch));
--- a/crates/dispatcher/src/node/claim.rs
+++ b/crates/dispatcher/src/node/claim.rs
@@ -41,7 +41,7 @@
     stores: BTreeSet<u64>,
     granted: usize,
     number: u32,
-    attempts: HashMap<u64, Known>,
+    attempts: BTreeMap<u64, Known>,
 }
 
 impl ClaimTally {
@@ -55,7 +55,7 @@
             stores: BTreeSet::new(),
             granted: 0,
             number: 0,
-            attempts: HashMap::new(),
+            attempts: BTreeMap::new(),
         }
     }
 
@@ -173,13 +173,14 @@
 }
 
 /// A slot is held while an attempt is unfinished, since its holder may still send, and after that until
-/// its execution has stopped; not beyond its deadline. Asked of what a majority told: a settled one
-/// without a marker was never sent.
+/// its execution has stopped; not beyond its deadline. The stores' replies are of different moments: that
+/// no marker was seen proves nothing, but a settlement brings along the last.
 fn holds_slot(v: &AttemptView, engine_listed: &dyn Fn(&str) -> bool) -> bool {
     match &v.call {
         _ if v.passed => false,
         _ if !v.is_settled() => true,
-        None => false,
-        Some(c) => !v.is_stopped() && engine_listed(&c.engine),
+        _ if v.is_stopped() => false,
+        None => true,
+        Some(c) => engine_listed(&c.engine),
     }
 }
--- a/crates/dispatcher/src/node/recover.rs
+++ b/crates/dispatcher/src/node/recover.rs
@@ -27,10 +27,10 @@
     epoch: Epoch,
     stores: BTreeSet<u64>,
     granted: usize,
-    /// Under which epoch it was called, and where.
-    call: Option<(Epoch, String)>,
+    call: Option<Call>,
     most: u32,
-    settled: Option<Settlement>,
+    /// The newest settlement, and whether that store knows of a stop.
+    settled: Option<(Settlement, bool)>,
     done: usize,
 }
 
@@ -54,27 +54,30 @@
             return;
         }
         match outcome {
-            WriteOutcome::Recovered { invoke, called_at, most } => {
+            WriteOutcome::Recovered { call, most } => {
                 self.granted += 1;
                 self.most = self.most.max(*most);
-                if let Invoke::Called { engine } = invoke {
-                    self.call = self.call.take().max(Some((*called_at, engine.clone())));
-                }
+                self.call = self.call.take().max(call.clone());
             }
-            WriteOutcome::AlreadySettled { epoch, tokens } => {
+            WriteOutcome::AlreadySettled { epoch, tokens, stopped, call } => {
                 self.done += 1;
-                self.settled =
-                    self.settled.max(Some(Settlement { epoch: *epoch, tokens: *tokens }));
+                let s = Settlement { epoch: *epoch, tokens: *tokens };
+                self.settled = self.settled.max(Some((s, *stopped)));
+                self.call = self.call.take().max(call.clone());
             }
             _ => {}
         }
     }
 
+    /// A settlement older than the newest call is void: a relaunch came after it.
+    fn valid(&self) -> Option<(Settlement, bool)> {
+        let e = self.call.as_ref().map_or(Epoch::NONE, |c| c.at.0);
+        self.settled.filter(|(s, _)| s.epoch >= e)
+    }
+
     pub fn decide(&self) -> RecoverDecision {
-        // A settlement older than the newest call is void: a relaunch came after it.
-        let valid = |s: &Settlement| self.call.as_ref().is_none_or(|(e, _)| s.epoch >= *e);
         if self.granted + self.done >= self.quorum {
-            if let Some(s) = self.settled.filter(valid) {
+            if let Some((s, _)) = self.valid() {
                 return RecoverDecision::Settled { tokens: s.tokens };
             }
         }
@@ -86,7 +89,7 @@
         }
         match &self.call {
             None => RecoverDecision::Relaunch,
-            Some((_, e)) => RecoverDecision::Adopt { engine: e.clone() },
+            Some(c) => RecoverDecision::Adopt { engine: c.engine.clone() },
         }
     }
 
@@ -97,9 +100,10 @@
         let (tokens, stopped) = match self.decide() {
             RecoverDecision::Relaunch => (0, true),
             RecoverDecision::Adopt { .. } => (self.most, false),
-            RecoverDecision::Settled { tokens } => (tokens, false),
+            RecoverDecision::Settled { tokens } => (tokens, self.valid().is_some_and(|(_, s)| s)),
             _ => return None,
         };
-        Some(LedgerWrite::Settle { req: self.req, epoch: Some(self.epoch), tokens, stopped })
+        let call = self.call.clone().filter(|_| !stopped);
+        Some(LedgerWrite::Settle { req: self.req, epoch: Some(self.epoch), tokens, stopped, call })
     }
 }
--- a/crates/dispatcher/src/records/write.rs
+++ b/crates/dispatcher/src/records/write.rs
@@ -73,6 +73,9 @@
         /// The execution was seen to stop, or was never begun.
         #[serde(rename = "s")]
         stopped: bool,
+        /// Its last send, unless it stopped: a store that missed the marker learns here what may run on.
+        #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+        call: Option<Call>,
     },
     /// Stop evidence found later. `call` is the newest send it covers: another one may be made, or may
     /// have been made unseen, under the same epoch.
@@ -104,11 +107,9 @@
     /// Older epochs are refused here from now on; the marker it had, and its most.
     #[serde(rename = "r")]
     Recovered {
-        #[serde(rename = "i")]
-        invoke: Invoke,
-        /// The epoch the marker was written under; `Epoch::NONE` while it is pending.
-        #[serde(rename = "e", default, skip_serializing_if = "Epoch::is_none")]
-        called_at: Epoch,
+        /// `None`: pending.
+        #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+        call: Option<Call>,
         #[serde(rename = "m")]
         most: u32,
     },
@@ -137,6 +138,11 @@
         epoch: Epoch,
         #[serde(rename = "t")]
         tokens: u32,
+        #[serde(rename = "s")]
+        stopped: bool,
+        /// The newest send.
+        #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+        call: Option<Call>,
     },
     /// The lease still runs here: not recoverable yet.
     #[serde(rename = "h")]
--- a/crates/dispatcher/tests/laws.rs
+++ b/crates/dispatcher/tests/laws.rs
@@ -49,6 +49,10 @@
             },
             tokens: u.int_in_range(0..=100)?,
             stopped: u.arbitrary()?,
+            call: match u.arbitrary()? {
+                true => None,
+                false => Some(Call { at: CallPoint(epoch(u)?, 1), engine: "k".into() }),
+            },
         },
         5 => LedgerWrite::Release { req, epoch: epoch(u)? },
         _ => LedgerWrite::ConfirmStopped {
--- a/crates/dispatcher/tests/ledger.rs
+++ b/crates/dispatcher/tests/ledger.rs
@@ -54,13 +54,17 @@
 }
 
 fn settle(req: u64, epoch: Option<Epoch>, tokens: u32, stopped: bool) -> LedgerWrite {
-    LedgerWrite::Settle { req, epoch, tokens, stopped }
+    LedgerWrite::Settle { req, epoch, tokens, stopped, call: None }
 }
 
 fn put(l: &mut ProgramLedger, w: LedgerWrite, s: u64) -> WriteOutcome {
     l.apply(&w, at(s), &Lives::default()).outcome
 }
 
+fn sent(req: u64, engine: &str) -> Option<Call> {
+    Some(Call { at: CallPoint(first(req), 1), engine: engine.into() })
+}
+
 fn called(engine: &str) -> Invoke {
     Invoke::Called { engine: engine.into() }
 }
@@ -95,8 +99,7 @@
     put(&mut l, claim(2, None), 0);
     assert_eq!(put(&mut l, mark(7, first(7), 1, "i-1"), 0), WriteOutcome::Unknown);
     assert_eq!(put(&mut l, mark(1, second(1), 1, "i-1"), 0), WriteOutcome::Unknown);
-    let pending =
-        WriteOutcome::Recovered { invoke: Invoke::Pending, called_at: Epoch::NONE, most: 100 };
+    let pending = WriteOutcome::Recovered { call: None, most: 100 };
     assert_eq!(put(&mut l, recover(1), 60), pending);
     let fenced = WriteOutcome::Fenced { epoch: second(1) };
     assert_eq!(put(&mut l, mark(1, first(1), 1, "i-1"), 60), fenced);
@@ -104,7 +107,8 @@
     assert_eq!(put(&mut l, mark(1, second(1), 1, "i-1"), 61), WriteOutcome::Marked);
     assert!(l.record(1).unwrap().segments[1].relaunched);
     put(&mut l, settle(2, Some(first(2)), 0, true), 1);
-    let ended = WriteOutcome::AlreadySettled { epoch: first(2), tokens: 0 };
+    let ended =
+        WriteOutcome::AlreadySettled { epoch: first(2), tokens: 0, stopped: true, call: None };
     assert_eq!(put(&mut l, mark(2, first(2), 1, "i-1"), 1), ended);
 }
 
@@ -143,7 +147,7 @@
 fn the_marker_lasts_over_recoveries() {
     let mut l = ledger();
     put(&mut l, claim(1, Some("i-1")), 0);
-    let r = WriteOutcome::Recovered { invoke: called("i-1"), called_at: first(1), most: 100 };
+    let r = WriteOutcome::Recovered { call: sent(1, "i-1"), most: 100 };
     assert_eq!(put(&mut l, recover(1), 60), r);
     let third = second(1).next(3, 1, 5);
     let w = LedgerWrite::Recover {
--- a/crates/dispatcher/tests/model/world.rs
+++ b/crates/dispatcher/tests/model/world.rs
@@ -329,8 +329,7 @@
                 a.outcome = WriteOutcome::Marked;
             }
             (Broken::MarkerForgotten, _, WriteOutcome::Recovered { most, .. }) => {
-                let (invoke, called_at) = (Invoke::Pending, Epoch::NONE);
-                a.outcome = WriteOutcome::Recovered { invoke, called_at, most: *most };
+                a.outcome = WriteOutcome::Recovered { call: None, most: *most };
             }
             _ => {}
         }
@@ -515,8 +514,10 @@
         task.stage = Stage::Done;
         let (req, epoch) = (task.req, task.epoch);
         let named = epoch.round() > 1 || !req.is_multiple_of(3);
+        let call = Call { at: CallPoint(epoch, task.send), engine: task.engine.clone() };
+        let call = (!stopped).then_some(call);
         let epoch = named.then_some(epoch);
-        self.send_all(t, LedgerWrite::Settle { req, epoch, tokens, stopped }, false);
+        self.send_all(t, LedgerWrite::Settle { req, epoch, tokens, stopped, call }, false);
     }
 
     /// One of the tasks that fit, on a node that still lives the same life.
--- a/crates/dispatcher/tests/node.rs
+++ b/crates/dispatcher/tests/node.rs
@@ -82,6 +82,8 @@
     assert_ne!(decide(&with(v.clone()), 999), full);
     v.call = Some(Call { at: CallPoint(v.epoch, 2), engine: "i".into() });
     assert_eq!(decide(&with(v.clone()), 999), full);
+    // No marker was seen, nor a stop: the replies are of different moments.
+    assert_eq!(decide(&with(settled(view(2, 5), 0)), 999), full);
     v.passed = true;
     assert_ne!(decide(&with(v), 999), full);
 }
@@ -132,16 +134,11 @@
 #[test]
 fn a_recovery_relaunches_only_what_is_pending_at_a_whole_majority() {
     let e = Epoch::first(1, 1, 1).next(2, 1, 9);
-    let got = |engine: Option<&str>| match engine {
-        None => {
-            WriteOutcome::Recovered { invoke: Invoke::Pending, called_at: Epoch::NONE, most: 80 }
-        }
-        Some(e) => WriteOutcome::Recovered {
-            invoke: Invoke::Called { engine: e.into() },
-            called_at: Epoch::first(1, 1, 1),
-            most: 80,
-        },
+    let sent = |engine: &str| {
+        Some(Call { at: CallPoint(Epoch::first(1, 1, 1), 1), engine: engine.into() })
     };
+    let got =
+        |engine: Option<&str>| WriteOutcome::Recovered { call: engine.and_then(sent), most: 80 };
     let run = |replies: &[WriteOutcome]| {
         let mut t = RecoverTally::new(2, 1, e);
         for (s, r) in replies.iter().enumerate() {
@@ -149,16 +146,22 @@
         }
         (t.decide(), t.settle())
     };
-    let settle =
-        |tokens, stopped| Some(LedgerWrite::Settle { req: 1, epoch: Some(e), tokens, stopped });
+    let settle = |tokens, stopped, call| {
+        Some(LedgerWrite::Settle { req: 1, epoch: Some(e), tokens, stopped, call })
+    };
     assert_eq!(run(&[got(None)]), (RecoverDecision::NeedMore, None));
-    assert_eq!(run(&[got(None), got(None)]), (RecoverDecision::Relaunch, settle(0, true)));
+    assert_eq!(run(&[got(None), got(None)]), (RecoverDecision::Relaunch, settle(0, true, None)));
     let adopt = RecoverDecision::Adopt { engine: "i".into() };
-    assert_eq!(run(&[got(None), got(Some("i"))]), (adopt, settle(80, false)));
+    assert_eq!(run(&[got(None), got(Some("i"))]), (adopt, settle(80, false, sent("i"))));
     let held = [WriteOutcome::Held, got(None), WriteOutcome::Held];
     assert_eq!(run(&held), (RecoverDecision::Lost, None));
-    let done = |epoch| WriteOutcome::AlreadySettled { epoch, tokens: 12 };
-    let known = (RecoverDecision::Settled { tokens: 12 }, settle(12, false));
+    let done = |epoch| WriteOutcome::AlreadySettled {
+        epoch,
+        tokens: 12,
+        stopped: false,
+        call: sent("i").filter(|c| c.at.0 <= epoch),
+    };
+    let known = (RecoverDecision::Settled { tokens: 12 }, settle(12, false, sent("i")));
     assert_eq!(run(&[done(Epoch::first(1, 1, 1)), got(None)]), known);
     // Settled before a later call: void.
     assert_eq!(run(&[done(Epoch(1)), got(Some("i"))]).0, RecoverDecision::NeedMore);
