Dispatcher: a claim reads a majority again after it was granted

Change: limits.reread, on by default: a majority is asked again after it granted, so the last of them sees all others; the marker's own replies serve. Off, it is one trip less and the ring stays possible.

--- a/crates/dispatcher/src/node/claim.rs
+++ b/crates/dispatcher/src/node/claim.rs
@@ -20,6 +20,9 @@
         limit: u32,
         scope: Scope,
     },
+    /// There is room by what was told, and a majority holds the claim: ask a majority once more what it
+    /// knows now (`take_again`), by the marker or by the same claim again.
+    Reread,
     /// A majority refused: another life holds the attempt, or it is settled.
     Refused,
     NeedMore,
@@ -41,6 +44,7 @@
     stores: BTreeSet<u64>,
     granted: usize,
     number: u32,
+    reread: BTreeSet<u64>,
     attempts: BTreeMap<u64, Known>,
 }
 
@@ -55,6 +59,7 @@
             stores: BTreeSet::new(),
             granted: 0,
             number: 0,
+            reread: BTreeSet::new(),
             attempts: BTreeMap::new(),
         }
     }
@@ -73,17 +78,32 @@
             WriteOutcome::Recovered { .. } => self.granted += 1,
             _ => {}
         }
+        self.know(view);
+    }
+
+    /// A store's view, asked for after a majority had granted.
+    pub fn take_again(&mut self, store: u64, view: ProgramView) {
+        if self.granted >= self.quorum && self.reread.insert(store) {
+            self.know(view);
+        }
+    }
+
+    fn know(&mut self, view: ProgramView) {
+        let first = self.reread.is_empty();
         let done = view.finished.0.into_iter().map(|(r, t)| AttemptView::finished(r, t));
         for v in done.chain(view.live) {
             let lapsed = usize::from(v.lapsed || v.is_settled());
             match self.attempts.get_mut(&v.req) {
                 None => {
-                    self.attempts.insert(v.req, Known { view: v, lapsed, seen: 1 });
+                    let (lapsed, seen) = if first { (lapsed, 1) } else { (0, 0) };
+                    self.attempts.insert(v.req, Known { view: v, lapsed, seen });
                 }
                 Some(k) => {
                     k.view.join(v);
-                    k.lapsed += lapsed;
-                    k.seen += 1;
+                    if first {
+                        k.lapsed += lapsed;
+                        k.seen += 1;
+                    }
                 }
             }
         }
@@ -128,6 +148,9 @@
         if allowance.is_some_and(|a| self.spent() + u64::from(most) > a) {
             return ClaimDecision::Spent;
         }
+        if self.limits.reread && self.reread.len() < self.quorum {
+            return ClaimDecision::Reread;
+        }
         ClaimDecision::Go { number: self.number }
     }
 
--- a/crates/dispatcher/src/node/limits.rs
+++ b/crates/dispatcher/src/node/limits.rs
@@ -10,6 +10,10 @@
     pub lease: Duration,
     /// The way to an engine, and how far elapsed clocks part within a deadline.
     pub slack: Duration,
+    /// Ask a majority again after it granted. Without, three or more claims at once may see each other
+    /// in a ring, each missing one, and take more room than there is; with it, the last of them to be
+    /// granted sees all others, at the price of one more trip.
+    pub reread: bool,
 }
 
 impl Default for Limits {
@@ -19,6 +23,7 @@
             per_program: 0,
             lease: Duration::from_secs(60),
             slack: Duration::from_secs(2),
+            reread: true,
         }
     }
 }
--- a/crates/dispatcher/tests/model/world.rs
+++ b/crates/dispatcher/tests/model/world.rs
@@ -17,10 +17,12 @@
     per_program: 5,
     lease: Duration::from_millis(250),
     slack: Duration::from_millis(150),
+    reread: true,
 };
 
 /// An outcome that waits for the sync.
 struct Told {
+    again: bool,
     part: Option<AttemptRecord>,
     to: Option<usize>,
     write: LedgerWrite,
@@ -81,6 +83,7 @@
     stage: Stage,
     /// From when its deadline counts.
     arrived: Duration,
+    rereads: bool,
 }
 
 struct Execution {
@@ -97,6 +100,8 @@
     to: usize,
     from: (usize, u64),
     task: Option<usize>,
+    /// Sent for a second reading.
+    again: bool,
     write: LedgerWrite,
 }
 
@@ -232,10 +237,14 @@
     }
 
     fn send_all(&mut self, t: usize, write: LedgerWrite, answer: bool) {
+        self.send_as(t, write, answer, false);
+    }
+
+    fn send_as(&mut self, t: usize, write: LedgerWrite, answer: bool, again: bool) {
         let from = (self.tasks[t].node, self.tasks[t].incarnation);
         for to in 0..self.stores.len() {
             let task = answer.then_some(t);
-            self.flight.push(Message { to, from, task, write: write.clone() });
+            self.flight.push(Message { to, from, task, again, write: write.clone() });
         }
     }
 
@@ -273,6 +282,7 @@
             marks: BTreeSet::new(),
             stage: Stage::Asking,
             arrived: self.now,
+            rereads: false,
         });
         let t = self.tasks.len() - 1;
         self.send_all(t, LedgerWrite::Claim { attempt, lease: LIMITS.lease }, true);
@@ -298,21 +308,28 @@
             return Ok(());
         }
         let again = u.ratio(1, 6)?;
-        let (from, task, write) = {
+        let (from, task, again_read, write) = {
             let m = &self.flight[i];
-            (m.from, m.task, m.write.clone())
+            (m.from, m.task, m.again, m.write.clone())
         };
         if !again {
             self.flight.swap_remove(i);
         }
-        self.apply(to, from, task, write);
+        self.apply(to, from, task, again_read, write);
         if u.ratio(1, 2)? {
             self.sync(to, u)?;
         }
         Ok(())
     }
 
-    fn apply(&mut self, to: usize, from: (usize, u64), task: Option<usize>, write: LedgerWrite) {
+    fn apply(
+        &mut self,
+        to: usize,
+        from: (usize, u64),
+        task: Option<usize>,
+        again: bool,
+        write: LedgerWrite,
+    ) {
         let s = &mut self.stores[to];
         let now = s.clock(self.now);
         s.lives.saw(from.0 as u64, from.1);
@@ -334,13 +351,13 @@
             _ => {}
         }
         let view = s.ledger.view(now, &s.lives);
-        s.unsynced.push(Told { part: a.log, to: task, write, outcome: a.outcome, view });
+        s.unsynced.push(Told { again, part: a.log, to: task, write, outcome: a.outcome, view });
         if self.broken == Broken::ToldBeforeSync {
             let last = self.stores[to].unsynced.len() - 1;
             let s = &mut self.stores[to].unsynced[last];
             let (outcome, view) = (s.outcome.clone(), std::mem::take(&mut s.view));
             let (write, task) = (s.write.clone(), s.to.take());
-            self.tell(to, task, write, outcome, view);
+            self.tell(to, task, again, write, outcome, view);
         }
     }
 
@@ -350,7 +367,7 @@
             self.stores[s].disk.extend(t.part);
             let lost = self.stores[s].cut || u.ratio(1, 8)?;
             let to = t.to.filter(|_| !lost);
-            self.tell(s, to, t.write, t.outcome, t.view);
+            self.tell(s, to, t.again, t.write, t.outcome, t.view);
         }
         Ok(())
     }
@@ -359,6 +376,7 @@
         &mut self,
         s: usize,
         to: Option<usize>,
+        again: bool,
         write: LedgerWrite,
         outcome: WriteOutcome,
         view: ProgramView,
@@ -366,8 +384,12 @@
         self.check_told(s, &write, &outcome);
         let Some(t) = to.filter(|t| self.is_alive(*t)) else { return };
         match (&write, &self.tasks[t].stage) {
-            (LedgerWrite::Claim { .. }, Stage::Asking) => self.claimed(t, s, &outcome, view),
-            (LedgerWrite::Recover { .. }, Stage::Asking) => self.took_over(t, s, &outcome, view),
+            (LedgerWrite::Claim { .. }, Stage::Asking) => {
+                self.claimed(t, s, again, &write, &outcome, view);
+            }
+            (LedgerWrite::Recover { .. }, Stage::Asking) => {
+                self.took_over(t, s, again, &write, &outcome, view);
+            }
             (LedgerWrite::Mark { send, .. }, Stage::Marking) => {
                 let q = self.quorum();
                 let task = &mut self.tasks[t];
@@ -419,16 +441,33 @@
         }
     }
 
-    fn claimed(&mut self, t: usize, s: usize, outcome: &WriteOutcome, view: ProgramView) {
+    fn claimed(
+        &mut self,
+        t: usize,
+        s: usize,
+        again: bool,
+        w: &LedgerWrite,
+        outcome: &WriteOutcome,
+        view: ProgramView,
+    ) {
         let task = &mut self.tasks[t];
         let Kind::Claim { tally, carries } = &mut task.kind else { return };
-        tally.take(s as u64, outcome, view);
+        match again {
+            true => tally.take_again(s as u64, view),
+            false => tally.take(s as u64, outcome, view),
+        }
         let gone = &self.nodes[task.node].gone;
         let listed = |e: &str| !gone.contains(e);
         let d = tally.decide(Some(self.allowance), task.most, &listed);
         if d == ClaimDecision::NeedMore {
             return;
         }
+        if d == ClaimDecision::Reread {
+            if !std::mem::replace(&mut task.rereads, true) {
+                self.send_as(t, w.clone(), true, true);
+            }
+            return;
+        }
         let carries = *carries;
         let (node, incarnation) = (task.node, task.incarnation);
         let recover = tally.recoverable(node as u64, incarnation);
@@ -465,21 +504,41 @@
                 marks: BTreeSet::new(),
                 stage: Stage::Asking,
                 arrived,
+                rereads: false,
             });
             self.send_all(self.tasks.len() - 1, w, true);
         }
     }
 
-    fn took_over(&mut self, t: usize, s: usize, outcome: &WriteOutcome, view: ProgramView) {
+    fn took_over(
+        &mut self,
+        t: usize,
+        s: usize,
+        again: bool,
+        w: &LedgerWrite,
+        outcome: &WriteOutcome,
+        view: ProgramView,
+    ) {
         let task = &mut self.tasks[t];
         let Kind::Recover { tally, room } = &mut task.kind else { return };
-        tally.take(s as u64, outcome);
-        room.take(s as u64, outcome, view);
+        match again {
+            true => room.take_again(s as u64, view),
+            false => {
+                tally.take(s as u64, outcome);
+                room.take(s as u64, outcome, view);
+            }
+        }
         let gone = &self.nodes[task.node].gone;
         let go = room.decide(Some(self.allowance), task.most, &|e| !gone.contains(e));
         let settle = tally.settle();
         match tally.decide() {
             RecoverDecision::NeedMore => return,
+            RecoverDecision::Relaunch if go == ClaimDecision::Reread => {
+                if !std::mem::replace(&mut task.rereads, true) {
+                    self.send_as(t, w.clone(), true, true);
+                }
+                return;
+            }
             RecoverDecision::Relaunch => {
                 self.seen[1] += 1;
                 let (req, epoch) = (task.req, task.epoch);
@@ -636,7 +695,7 @@
         let records: Vec<AttemptRecord> = self.stores[from].ledger.records().cloned().collect();
         for r in records {
             if u.ratio(2, 3)? {
-                self.apply(to, (0, 0), None, LedgerWrite::Merge(r));
+                self.apply(to, (0, 0), None, false, LedgerWrite::Merge(r));
             }
         }
         Ok(())
--- a/crates/dispatcher/tests/node.rs
+++ b/crates/dispatcher/tests/node.rs
@@ -31,7 +31,7 @@
 type Reply = (Vec<(u64, u32)>, Vec<AttemptView>);
 
 fn tally(replies: &[Reply]) -> ClaimTally {
-    let limits = Limits { per_line: 2, ..Limits::default() };
+    let limits = Limits { per_line: 2, reread: false, ..Limits::default() };
     let mut t = ClaimTally::new(2, 9, 5, limits);
     for (s, (done, live)) in replies.iter().enumerate() {
         let v = ProgramView { finished: Finished(done.clone()), live: live.clone() };
