Dispatcher: reread always, near the limit, or never

Cause: a second trip for every claim is dear, and a ring of claims can only pass a limit that is near. Change: Reread is Always (default), NearLimit (more than half of the room would be taken) or Never.

--- a/crates/dispatcher/src/node/claim.rs
+++ b/crates/dispatcher/src/node/claim.rs
@@ -137,18 +137,27 @@
             self.others().filter(|v| holds_slot(v, engine_listed)).collect();
         let line = slots.iter().filter(|v| v.line == self.line || v.line == 0).count() as u32;
         let program = slots.len() as u32;
+        let mut near = false;
         for (in_use, limit, scope) in [
             (line, self.limits.per_line, Scope::Line),
             (program, self.limits.per_program, Scope::Program),
         ] {
+            near |= limit > 0 && 2 * in_use + 1 > limit;
             if limit > 0 && in_use >= limit {
                 return ClaimDecision::Capacity { in_use, limit, scope };
             }
         }
-        if allowance.is_some_and(|a| self.spent() + u64::from(most) > a) {
+        let (spent, most) = (self.spent(), u64::from(most));
+        near |= allowance.is_some_and(|a| 2 * spent + most > a);
+        if allowance.is_some_and(|a| spent + most > a) {
             return ClaimDecision::Spent;
         }
-        if self.limits.reread && self.reread.len() < self.quorum {
+        let reread = match self.limits.reread {
+            Reread::Always => true,
+            Reread::NearLimit => near,
+            Reread::Never => false,
+        };
+        if reread && self.reread.len() < self.quorum {
             return ClaimDecision::Reread;
         }
         ClaimDecision::Go { number: self.number }
--- a/crates/dispatcher/src/node/limits.rs
+++ b/crates/dispatcher/src/node/limits.rs
@@ -1,5 +1,19 @@
 use crate::prelude::*;
 
+/// When a claim asks a majority again after it was granted. Replies of one claim are of different moments:
+/// of three or more claims at once each may miss one, in a ring, and together take more room than there
+/// is. Asked again, the last of them to be granted sees all others, at the price of one more trip.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reread {
+    Always,
+    /// Only a claim that would take more than half of what is left to it. If all claims at once stay
+    /// below that, their sum stays within the limit, whatever they missed of each other; mixed with ones
+    /// that don't it is not proven.
+    NearLimit,
+    /// A ring may take up to twice the limit.
+    Never,
+}
+
 /// Four attempts and one minute are the design's starting values; 0 is unbounded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -10,10 +24,7 @@
     pub lease: Duration,
     /// The way to an engine, and how far elapsed clocks part within a deadline.
     pub slack: Duration,
-    /// Ask a majority again after it granted. Without, three or more claims at once may see each other
-    /// in a ring, each missing one, and take more room than there is; with it, the last of them to be
-    /// granted sees all others, at the price of one more trip.
-    pub reread: bool,
+    pub reread: Reread,
 }
 
 impl Default for Limits {
@@ -23,7 +34,7 @@
             per_program: 0,
             lease: Duration::from_secs(60),
             slack: Duration::from_secs(2),
-            reread: true,
+            reread: Reread::Always,
         }
     }
 }
--- a/crates/dispatcher/src/node/mod.rs
+++ b/crates/dispatcher/src/node/mod.rs
@@ -8,5 +8,5 @@
 pub use claim::{ClaimDecision, ClaimTally, Scope};
 pub use evidence::Evidence;
 pub use hold::Hold;
-pub use limits::Limits;
+pub use limits::{Limits, Reread};
 pub use recover::{RecoverDecision, RecoverTally};
--- a/crates/dispatcher/src/prelude.rs
+++ b/crates/dispatcher/src/prelude.rs
@@ -1,7 +1,7 @@
 //! The one module every file of this package imports.
 pub use crate::ledger::{Lives, ProgramLedger};
 pub use crate::node::{
-    ClaimDecision, ClaimTally, Evidence, Hold, Limits, RecoverDecision, RecoverTally, Scope,
+    ClaimDecision, ClaimTally, Evidence, Hold, Limits, RecoverDecision, RecoverTally, Reread, Scope,
 };
 pub use crate::queue::{PoolCapacity, ReadyQueue, ReadyTurn};
 pub use crate::records::{
--- a/crates/dispatcher/tests/model/world.rs
+++ b/crates/dispatcher/tests/model/world.rs
@@ -17,7 +17,7 @@
     per_program: 5,
     lease: Duration::from_millis(250),
     slack: Duration::from_millis(150),
-    reread: true,
+    reread: Reread::Always,
 };
 
 /// An outcome that waits for the sync.
--- a/crates/dispatcher/tests/node.rs
+++ b/crates/dispatcher/tests/node.rs
@@ -31,7 +31,7 @@
 type Reply = (Vec<(u64, u32)>, Vec<AttemptView>);
 
 fn tally(replies: &[Reply]) -> ClaimTally {
-    let limits = Limits { per_line: 2, reread: false, ..Limits::default() };
+    let limits = Limits { per_line: 2, reread: Reread::Never, ..Limits::default() };
     let mut t = ClaimTally::new(2, 9, 5, limits);
     for (s, (done, live)) in replies.iter().enumerate() {
         let v = ProgramView { finished: Finished(done.clone()), live: live.clone() };
@@ -56,6 +56,36 @@
     assert_eq!(decide(&one, 999), ClaimDecision::NeedMore);
 }
 
+/// Each of three claims misses one of the others; read again, the last to be granted sees both.
+#[test]
+fn claims_in_a_ring_are_seen_when_a_majority_is_asked_again() {
+    let limits = |reread| Limits { per_line: 2, reread, ..Limits::default() };
+    let run = |reread| {
+        let mut t = ClaimTally::new(2, 9, 5, limits(reread));
+        for s in 1..=2 {
+            t.take(s, &OK, ProgramView { live: vec![view(1, 5)], ..ProgramView::default() });
+        }
+        t
+    };
+    let go = ClaimDecision::Go { number: 3 };
+    assert_eq!(decide(&run(Reread::Never), 999), go);
+    let mut t = run(Reread::Always);
+    assert_eq!(decide(&t, 999), ClaimDecision::Reread);
+    t.take_again(1, ProgramView::default());
+    assert_eq!(decide(&t, 999), ClaimDecision::Reread);
+    t.take_again(3, ProgramView { live: vec![view(2, 5)], ..ProgramView::default() });
+    let full = ClaimDecision::Capacity { in_use: 2, limit: 2, scope: Scope::Line };
+    assert_eq!(decide(&t, 999), full);
+    // One of two slots is taken, or more than half of the budget would be.
+    assert_eq!(decide(&run(Reread::NearLimit), 999), ClaimDecision::Reread);
+    let near = |allowance| {
+        let mut t = ClaimTally::new(1, 9, 5, limits(Reread::NearLimit));
+        t.take(1, &OK, ProgramView { live: vec![view(1, 6)], ..ProgramView::default() });
+        decide(&t, allowance)
+    };
+    assert_eq!((near(250), near(249)), (go, ClaimDecision::Reread));
+}
+
 #[test]
 fn a_majority_of_refusals_ends_a_claim() {
     let mut t = ClaimTally::new(2, 9, 5, Limits::default());
