--- a/crates/dispatcher/src/node/claim.rs
+++ b/crates/dispatcher/src/node/claim.rs
@@ -20,6 +20,9 @@
         limit: u32,
         scope: Scope,
     },
+    /// There is room by what was told, and a majority holds the claim: ask a majority once more what it
+    /// knows now (`take_again`), by the marker or by the same claim again.
+    Reread,
     /// A majority refused: another life holds the attempt, or it is settled.
     Refused,
     NeedMore,
@@ -41,7 +44,8 @@
     stores: BTreeSet<u64>,
     granted: usize,
     number: u32,
-    attempts: HashMap<u64, Known>,
+    reread: BTreeSet<u64>,
+    attempts: BTreeMap<u64, Known>,
 }
 
 impl ClaimTally {
@@ -55,7 +59,8 @@
             stores: BTreeSet::new(),
             granted: 0,
             number: 0,
-            attempts: HashMap::new(),
+            reread: BTreeSet::new(),
+            attempts: BTreeMap::new(),
         }
     }
 
@@ -73,17 +78,32 @@
             WriteOutcome::Recovered { .. } => self.granted += 1,
             _ => {}
         }
+        self.know(view);
+    }
+
+    /// A store's view, asked for after a majority had granted.
+    pub fn take_again(&mut self, store: u64, view: ProgramView) {
+        if self.granted >= self.quorum && self.reread.insert(store) {
+            self.know(view);
+        }
+    }
+
+    fn know(&mut self, view: ProgramView) {
+        let first = self.reread.is_empty();
         let done = view.finished.0.into_iter().map(|(r, t)| AttemptView::finished(r, t));
         for v in done.chain(view.live) {
             let lapsed = usize::from(v.lapsed || v.is_settled());
             match self.attempts.get_mut(&v.req) {
                 None => {
-                    self.attempts.insert(v.req, Known { view: v, lapsed, seen: 1 });
+                    let (lapsed, seen) = if first { (lapsed, 1) } else { (0, 0) };
+                    self.attempts.insert(v.req, Known { view: v, lapsed, seen });
                 }
                 Some(k) => {
                     k.view.join(v);
-                    k.lapsed += lapsed;
-                    k.seen += 1;
+                    if first {
+                        k.lapsed += lapsed;
+                        k.seen += 1;
+                    }
                 }
             }
         }
@@ -117,17 +137,29 @@
             self.others().filter(|v| holds_slot(v, engine_listed)).collect();
         let line = slots.iter().filter(|v| v.line == self.line || v.line == 0).count() as u32;
         let program = slots.len() as u32;
+        let mut near = false;
         for (in_use, limit, scope) in [
             (line, self.limits.per_line, Scope::Line),
             (program, self.limits.per_program, Scope::Program),
         ] {
+            near |= limit > 0 && 2 * in_use + 1 > limit;
             if limit > 0 && in_use >= limit {
                 return ClaimDecision::Capacity { in_use, limit, scope };
             }
         }
-        if allowance.is_some_and(|a| self.spent() + u64::from(most) > a) {
+        let (spent, most) = (self.spent(), u64::from(most));
+        near |= allowance.is_some_and(|a| 2 * spent + most > a);
+        if allowance.is_some_and(|a| spent + most > a) {
             return ClaimDecision::Spent;
         }
+        let reread = match self.limits.reread {
+            Reread::Always => true,
+            Reread::NearLimit => near,
+            Reread::Never => false,
+        };
+        if reread && self.reread.len() < self.quorum {
+            return ClaimDecision::Reread;
+        }
         ClaimDecision::Go { number: self.number }
     }
 
@@ -173,13 +205,14 @@
 }
 
 /// A slot is held while an attempt is unfinished, since its holder may still send, and after that until
-/// its execution has stopped; not beyond its deadline. Asked of what a majority told: a settled one
-/// without a marker was never sent.
+/// its execution has stopped; not beyond its deadline. The stores' replies are of different moments: that
+/// no marker was seen proves nothing, but a settlement brings along the last.
 fn holds_slot(v: &AttemptView, engine_listed: &dyn Fn(&str) -> bool) -> bool {
     match &v.call {
         _ if v.passed => false,
         _ if !v.is_settled() => true,
-        None => false,
-        Some(c) => !v.is_stopped() && engine_listed(&c.engine),
+        _ if v.is_stopped() => false,
+        None => true,
+        Some(c) => engine_listed(&c.engine),
     }
 }
