--- a/crates/control-cell/src/owner/agree.rs
+++ b/crates/control-cell/src/owner/agree.rs
@@ -54,7 +54,11 @@
                     }
                 }
                 Effect::Restore(snap) => {
-                    self.state = decode(&snap.data).unwrap_or_default();
+                    let Some(state) = decode(&snap.data) else {
+                        spdlog::error!("the leader's snapshot can't be read: another version?");
+                        return false;
+                    };
+                    self.state = state;
                     if !self.publish_state() {
                         return false;
                     }
--- a/crates/control-cell/src/owner/work.rs
+++ b/crates/control-cell/src/owner/work.rs
@@ -99,7 +99,12 @@
         let me = Member { id, name: env.node_name.clone(), addr: own, area: env.area.clone() };
         let state = match log.snap.data.is_empty() {
             true => CellState::default(),
-            false => decode(&log.snap.data).unwrap_or_default(),
+            // Another version's state is not dropped for an empty one.
+            false => decode(&log.snap.data).ok_or_else(|| NodeError::Damaged {
+                file: dir.join("agreement/snapshot").display().to_string(),
+                offset: 0,
+                reason: "the agreed state can't be read: damaged, or of another version".into(),
+            })?,
         };
         let seed = fastrand::u64(..);
         let (held, watch_held) = watch::channel(Held::new());
--- a/crates/dispatcher/src/ledger/lives.rs
+++ b/crates/dispatcher/src/ledger/lives.rs
@@ -15,6 +15,10 @@
         *i = (*i).max(incarnation);
     }
 
+    pub fn newest(&self, node: u64) -> Option<u64> {
+        self.newest.get(&node).copied()
+    }
+
     pub fn has_ended(&self, node: u64, incarnation: u64) -> bool {
         self.newest.get(&node).is_some_and(|i| *i > incarnation)
     }
--- a/crates/dispatcher/src/node/claim.rs
+++ b/crates/dispatcher/src/node/claim.rs
@@ -149,12 +149,14 @@
         }
         let (spent, most) = (self.spent(), u64::from(most));
         near |= allowance.is_some_and(|a| 2 * spent + most > a);
+        let few = |n: u32| allowance.is_some_and(|a| spent + most * (1 + u64::from(n)) > a);
         if allowance.is_some_and(|a| spent + most > a) {
             return ClaimDecision::Spent;
         }
         let reread = match self.limits.reread {
             Reread::Always => true,
             Reread::NearLimit => near,
+            Reread::Within(n) => few(n),
             Reread::Never => false,
         };
         if reread && self.reread.len() < self.quorum {
--- a/crates/dispatcher/src/node/limits.rs
+++ b/crates/dispatcher/src/node/limits.rs
@@ -10,6 +10,11 @@
     /// below that, their sum stays within the limit, whatever they missed of each other; mixed with ones
     /// that don't it is not proven.
     NearLimit,
+    /// Only a claim that leaves room for fewer than so many more turns like it. Of `k` claims at once one
+    /// has seen at least half of the others, so up to `2n + 1` of them stay within the budget by
+    /// themselves, and up to `2n + 3` within the one turn beyond it that RULES (BUDGET) allows. Slots are
+    /// not asked for again.
+    Within(u32),
     /// A ring may take up to twice the limit.
     Never,
 }
@@ -34,7 +39,7 @@
             per_program: 0,
             lease: Duration::from_secs(60),
             slack: Duration::from_secs(2),
-            reread: Reread::Always,
+            reread: Reread::Within(2),
         }
     }
 }
--- a/crates/inner-protocol/src/stores/mod.rs
+++ b/crates/inner-protocol/src/stores/mod.rs
@@ -28,18 +28,6 @@
     pub keep_ms: u64,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LedgerEntry {
-    /// The request's id, hashed.
-    #[serde(rename = "r")]
-    pub req: u64,
-    /// What it reserved, or what it came to.
-    #[serde(rename = "t")]
-    pub tokens: u32,
-    #[serde(rename = "f")]
-    pub settled: bool,
-}
-
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct OpenCall {
     /// The version of the store set it is made under.
@@ -47,14 +35,13 @@
     pub version: u64,
     #[serde(rename = "p")]
     pub program: String,
-    #[serde(rename = "r")]
-    pub req: u64,
-    #[serde(rename = "m")]
-    pub most: u32,
-    #[serde(rename = "v")]
+    /// The claim of the turn's attempt, and the length of its lease.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub claim: Option<LedgerWrite>,
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     pub prev: Option<String>,
     /// Bring the chain's turns along.
-    #[serde(rename = "w")]
+    #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
     pub want: bool,
 }
 
@@ -70,8 +57,14 @@
     /// It knows all that was ever acknowledged for the program: its answer counts.
     #[serde(rename = "k")]
     pub knows: bool,
-    #[serde(rename = "l")]
-    pub ledger: Vec<LedgerEntry>,
+    /// What the claim came to, and the program's attempts after it.
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    pub outcome: Option<WriteOutcome>,
+    #[serde(rename = "l", default)]
+    pub view: ProgramView,
+    /// A greater incarnation of the claiming node than its own that this store has heard of.
+    #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
+    pub later: Option<u64>,
     #[serde(rename = "h")]
     pub held: Held,
     #[serde(rename = "t")]
@@ -92,7 +85,7 @@
     #[serde(rename = "p")]
     pub program: String,
     #[serde(rename = "l")]
-    pub ledger: Vec<LedgerEntry>,
+    pub ledger: Vec<AttemptRecord>,
     #[serde(rename = "t")]
     pub turns: Vec<String>,
 }
@@ -118,20 +111,24 @@
         version: u64,
         id: String,
     },
-    /// Keeps a turn and settles its reservation. `foreign` are the turns before it, where these are
+    /// Keeps a turn and settles its attempt. `foreign` are the turns before it, where these are
     /// another program's.
     Close {
         version: u64,
         record: TurnRecord,
         foreign: Vec<TurnRecord>,
-        req: u64,
-        tokens: u32,
+        settle: Option<LedgerWrite>,
     },
-    /// Settles a reservation of a turn that doesn't count.
-    Settle {
+    /// A write of the dispatcher: a marker, a renewal, a recovery.
+    Write {
+        version: u64,
+        program: String,
+        write: LedgerWrite,
+    },
+    /// The same without an answer, under any set: settlements, stops, releases.
+    Note {
         program: String,
-        req: u64,
-        tokens: u32,
+        write: LedgerWrite,
     },
     /// A store that gained programs by a change of the set asks for what it doesn't know of them, from
     /// a program on.
@@ -154,6 +151,10 @@
         turns: Vec<TurnRecord>,
     },
     Done,
+    Written {
+        knows: bool,
+        outcome: WriteOutcome,
+    },
     /// The caller works under an older set; here is the newer.
     Stale(StoreSet),
     /// This store has not heard of the caller's set yet.
@@ -164,6 +165,9 @@
         name: String,
         turns: u64,
         programs: u64,
+        /// Attempts that hold a slot: unfinished, and ended without a stop seen.
+        unfinished: u64,
+        unstopped: u64,
         version: u64,
         disk_bytes: u64,
         fresh: bool,
--- a/crates/node-base/src/env/check.rs
+++ b/crates/node-base/src/env/check.rs
@@ -142,6 +142,28 @@
             as u32,
         bounds,
         cloud: raw.cloud_api.map(|c| check_cloud(&ck, c)).transpose()?,
+        dispatcher: check_dispatcher(&ck, &raw.dispatcher)?,
+    })
+}
+
+fn check_dispatcher(ck: &Checker<'_>, raw: &BTreeMap<String, toml::Value>) -> NodeResult<Limits> {
+    let def = Limits::default();
+    let count = |key: &str, def: u32| -> NodeResult<u32> {
+        let n = ck.num(raw, "dispatcher", key, f64::from(def))?;
+        match n <= 10_000.0 && n.fract() == 0.0 {
+            true => Ok(n as u32),
+            false => ck.fail(&format!("dispatcher.{key}"), "is not a whole number up to 10000"),
+        }
+    };
+    let lease = ck.num(raw, "dispatcher", "leaseS", def.lease.as_secs_f64())?;
+    if !(1.0..=86_400.0).contains(&lease) {
+        return ck.fail("dispatcher.leaseS", "is not between 1 and 86400");
+    }
+    Ok(Limits {
+        per_line: count("attemptsPerLine", def.per_line)?,
+        per_program: count("attemptsPerProgram", def.per_program)?,
+        lease: Duration::from_secs_f64(lease),
+        ..def
     })
 }
 
--- a/crates/node-base/src/env/mod.rs
+++ b/crates/node-base/src/env/mod.rs
@@ -24,6 +24,7 @@
     pub tolerated_machines: u32,
     pub bounds: Bounds,
     pub cloud: Option<CloudEnv>,
+    pub dispatcher: Limits,
 }
 
 #[derive(Debug, Clone, Default)]
--- a/crates/node-base/src/env/raw.rs
+++ b/crates/node-base/src/env/raw.rs
@@ -25,6 +25,8 @@
     #[serde(default)]
     pub bounds: BTreeMap<String, toml::Value>,
     pub cloud_api: Option<RawCloud>,
+    #[serde(default)]
+    pub dispatcher: BTreeMap<String, toml::Value>,
 }
 
 #[derive(Deserialize)]
--- a/crates/request-proxy/src/app/feed.rs
+++ b/crates/request-proxy/src/app/feed.rs
@@ -34,6 +34,13 @@
 }
 
 pub fn sweep_regularly(app: &Arc<App>) {
+    let bank = app.bank.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            bank.hold_on();
+        }
+    });
     let app = app.clone();
     tokio::spawn(async move {
         loop {
--- a/crates/request-proxy/src/app/mod.rs
+++ b/crates/request-proxy/src/app/mod.rs
@@ -28,7 +28,7 @@
     pub sched: Mutex<Scheduler>,
     pub tickets: Mutex<HashMap<u64, oneshot::Sender<Grant>>>,
     pub pool: Pool,
-    pub bank: TurnBank,
+    pub bank: Arc<TurnBank>,
     pub trial: TrialDesk,
 }
 
@@ -50,7 +50,7 @@
             sched: Mutex::new(Scheduler::new(tuning)),
             tickets: Mutex::new(HashMap::new()),
             pool: Pool::new(),
-            bank: TurnBank::new(env.area.clone(), cache_bytes),
+            bank: Arc::new(TurnBank::new(&env, cache_bytes)),
             trial: TrialDesk::new(&env.node_name),
             env,
         })
@@ -104,6 +104,11 @@
         self.hand_out(next);
     }
 
+    /// No only for an engine that was seen to leave the list.
+    pub fn listed(&self, engine: &str) -> bool {
+        !locked(&self.sched).engines.has_left(EngineKey::of(engine))
+    }
+
     /// Tells operators which engines were ejected and which are back.
     pub fn tell_notes(&self) {
         let mut sched = locked(&self.sched);
--- a/crates/request-proxy/src/flow/place.rs
+++ b/crates/request-proxy/src/flow/place.rs
@@ -44,6 +44,13 @@
 /// What others have under way fades: from time to time it is worth a look whether there is room.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// An engine at once, or none.
+pub fn place_now(job: &Job<'_>, ask: &Ask) -> Option<Held> {
+    let app = job.app;
+    let g = locked(&app.sched).place_now(ask, app.now())?;
+    Some(Held { app: app.clone(), grant: Some(g) })
+}
+
 pub async fn place(job: &Job<'_>, ask: Ask) -> Result<Held, OwnAnswer> {
     let app = job.app;
     let held = |g| Held { app: app.clone(), grant: Some(g) };
--- a/crates/request-proxy/src/flow/turn.rs
+++ b/crates/request-proxy/src/flow/turn.rs
@@ -1,71 +1,95 @@
-//! Turns and other streams.
-use super::place::place;
+//! Turns and other streams: claimed by the dispatcher, placed by the index, marked, sent, relayed.
+use super::place::{place, place_now, Held};
 use super::Job;
 use crate::app::locked;
 use crate::prelude::*;
 use crate::relay::StreamEnd;
 use crate::sending::{keep_alive, passed_on, send_once, Outgoing};
 
-/// A reservation that is given back unless the turn gets under way.
-struct Reserved {
+/// An attempt this node holds, settled at nothing unless the relay takes it over. Invariant: `stopped` is
+/// false from before a send until its end proves that the execution isn't running.
+struct Attempt {
     app: Arc<App>,
-    program: String,
-    req: u64,
-    armed: bool,
+    claim: Option<Claim>,
+    stopped: bool,
 }
 
-impl Drop for Reserved {
+impl Drop for Attempt {
     fn drop(&mut self) {
-        if self.armed {
-            self.app.bank.release(&self.program, self.req);
+        if let Some(c) = self.claim.take() {
+            self.app.bank.settle(&c, 0, self.stopped);
         }
     }
 }
 
+/// What a turn brings along, fixed once its chain is known.
+struct Turn<'a> {
+    input: Bytes,
+    tokens: (u32, u32),
+    blocks: Vec<Block>,
+    program: &'a str,
+}
+
+/// How long an engine chosen before the claim stays chosen.
+const CHOSEN: Duration = Duration::from_millis(250);
+
 pub async fn run(job: &Job<'_>, input: Bytes) -> Result<Response<ProxyBody>, OwnAnswer> {
-    let head = job.head;
-    let (prompt_tokens, most_out) = head.tokens.unwrap_or((input.len() as u32, 0));
-    let program = head.program.unwrap_or("");
-    let req = fnv64(head.request_id.as_bytes());
-    let counts = head.allowance.is_some();
-    let mut reserved = None;
+    let (app, head) = (job.app, job.head);
+    let tokens = head.tokens.unwrap_or((input.len() as u32, 0));
+    let blocks = chain_blocks(head.model.unwrap_or(""), head.parts.iter().cloned());
+    let turn = Turn { input, tokens, blocks, program: head.program.unwrap_or("") };
     let mut opened = Opened::default();
-    if counts || head.previous.is_some() {
-        let ask = OpenAsk {
-            program,
-            req,
-            most: if counts { most_out.max(1) } else { 0 },
-            allowance: head.allowance,
-            previous: head.previous,
-        };
-        // The client's going away gives the reservation back, even while it is being made.
-        reserved = counts.then(|| Reserved {
-            app: job.app.clone(),
-            program: program.to_string(),
-            req,
-            armed: true,
-        });
-        opened = match job.app.bank.open(ask, Instant::now() + job.left() / 2).await {
-            Ok(o) => o,
-            Err(f) => {
-                if let Some(r) = &mut reserved {
-                    r.armed = false;
-                }
-                return Err(match f {
-                    OpenFault::Spent => OwnAnswer::Spent,
-                    OpenFault::NoTurn => OwnAnswer::NoTurn,
-                    OpenFault::Unsure => OwnAnswer::shed(200, "too few stores answer"),
-                });
-            }
-        };
-    }
-    let whole = whole_prompt(&opened, &input);
-    let res = send_turn(job, &opened, whole, input, (prompt_tokens, most_out), req, counts).await;
-    if let (Ok(_), Some(r)) = (&res, &mut reserved) {
-        // From here on the relay settles it.
-        r.armed = false;
+    let mut early = None;
+    if head.program.is_some() || head.previous.is_some() {
+        // Where the line is known here and an engine has room, the launch follows the claim at once.
+        if let Some(chain) = app.bank.chain_here(head.previous) {
+            early = place_now(job, &ask_of(job, &turn, chain.last(), &[]));
+        }
+        let began = Instant::now();
+        let engine = early.as_ref().and_then(|h: &Held| h.grant()).map(|g| g.id.to_string());
+        opened = open(job, &turn, engine).await?;
+        let stale = began.elapsed() > CHOSEN;
+        early = early.filter(|h| !stale && h.grant().is_some_and(|g| may_send(app, g.key)));
     }
-    res
+    let held = Attempt { app: app.clone(), claim: opened.claim.take(), stopped: true };
+    let whole = whole_prompt(&opened, &turn.input);
+    send_turn(job, &turn, &opened, held, early, whole).await
+}
+
+fn may_send(app: &App, key: EngineKey) -> bool {
+    locked(&app.sched).engines.get(key).is_some_and(|e| !e.draining)
+}
+
+async fn open(job: &Job<'_>, turn: &Turn<'_>, engine: Option<String>) -> Result<Opened, OwnAnswer> {
+    let (app, head) = (job.app, job.head);
+    let claim = head.program.map(|_| ClaimAsk {
+        line: fnv64(head.session.unwrap_or("").as_bytes()),
+        pinned: Pinned {
+            config_version: job.live.serial,
+            service: job.service.to_string(),
+            most_sends: job.way.most_sends,
+            deadline_ms: job.left().as_millis() as u64,
+            retained: job.way.retained,
+        },
+        most: turn.tokens.1.max(1),
+        allowance: head.allowance,
+        engine,
+    });
+    let listed = |e: &str| app.listed(e);
+    let ask = OpenAsk {
+        program: turn.program,
+        req: fnv64(head.request_id.as_bytes()),
+        claim,
+        previous: head.previous,
+        listed: &listed,
+    };
+    let got = app.bank.open(ask, Instant::now() + job.left() / 2).await;
+    got.map_err(|f| match f {
+        OpenFault::Spent => OwnAnswer::Spent,
+        OpenFault::NoTurn => OwnAnswer::NoTurn,
+        OpenFault::Capacity => OwnAnswer::shed(300, "too many attempts of this line hold a slot"),
+        OpenFault::Unsure => OwnAnswer::shed(200, "too few stores answer"),
+    })
 }
 
 /// For each turn of the chain its input, then its events' data; the new input last.
@@ -83,20 +107,42 @@
     out.freeze()
 }
 
+fn ask_of(
+    job: &Job<'_>,
+    turn: &Turn<'_>,
+    last: Option<&Arc<TurnRecord>>,
+    tried: &[EngineKey],
+) -> Ask {
+    let engine = job.live.services.get(&*job.service).and_then(|s| s.engine.as_ref());
+    let (_, seat) = job.app.trial.seat(job, last.map(|t| t.engine.as_str()));
+    Ask {
+        service: job.service.clone(),
+        blocks: turn.blocks.clone(),
+        session: job.head.session.map(Into::into),
+        told_holder: last.map(|t| EngineKey::of(read_answered_by(&t.engine).0)),
+        prompt_tokens: turn.tokens.0,
+        most_out: turn.tokens.1,
+        memory_limit: engine.map_or(0, |e| e.cache_tokens / 100 * 95),
+        is_turn: true,
+        priority: job.way.priority,
+        slack: job.slack(),
+        budget: job.left(),
+        tried: tried.to_vec(),
+        may_probe: job.way.priority > 0,
+        policy: Seat::policy(seat.as_ref()),
+    }
+}
+
 async fn send_turn(
     job: &Job<'_>,
+    turn: &Turn<'_>,
     opened: &Opened,
+    mut attempt: Attempt,
+    mut early: Option<Held>,
     whole: Bytes,
-    input: Bytes,
-    tokens: (u32, u32),
-    req: u64,
-    reserved: bool,
 ) -> Result<Response<ProxyBody>, OwnAnswer> {
     let (app, head) = (job.app, job.head);
-    let engine = job.live.services.get(&*job.service).and_then(|s| s.engine.as_ref());
-    let blocks = chain_blocks(head.model.unwrap_or(""), head.parts.iter().cloned());
     let last = opened.chain.last();
-    let program = head.program.unwrap_or("");
     let (mark, seat) = app.trial.seat(job, last.map(|t| t.engine.as_str()));
     if let Some(s) = &seat {
         let _ = job.seat.set(s.clone());
@@ -105,30 +151,26 @@
     let mut sends = 0;
     let mut unreached = 0;
     loop {
-        let ask = Ask {
-            service: job.service.clone(),
-            blocks: blocks.clone(),
-            session: head.session.map(Into::into),
-            told_holder: last.map(|t| EngineKey::of(read_answered_by(&t.engine).0)),
-            prompt_tokens: tokens.0,
-            most_out: tokens.1,
-            memory_limit: engine.map_or(0, |e| e.cache_tokens / 100 * 95),
-            is_turn: true,
-            priority: job.way.priority,
-            slack: job.slack(),
-            budget: job.left(),
-            tried: tried.clone(),
-            may_probe: job.way.priority > 0,
-            policy: Seat::policy(seat.as_ref()),
+        let held = match early.take() {
+            Some(h) => h,
+            None => place(job, ask_of(job, turn, last, &tried)).await?,
         };
-        let held = place(job, ask).await?;
         let Some(g) = held.grant().cloned() else {
             return Err(OwnAnswer::shed(100, "no engine can take it in time"));
         };
+        if let Some(c) = &mut attempt.claim {
+            // The claim carried the marker of the engine that was chosen before it.
+            let carried = sends + unreached == 0
+                && c.call.as_ref().is_some_and(|c| c.at.1 == 1 && *c.engine == *g.id);
+            if !carried && !app.bank.mark(c, &g.id).await {
+                return Err(OwnAnswer::shed(200, "too few stores answer"));
+            }
+        }
         debug!(
             "turn {} on {} {:?} hit {} fresh {}",
             head.request_id, g.id, g.reason, g.hit, g.fresh
         );
+        attempt.stopped = false;
         let alone = locked(&app.sched).engines.get(g.key).is_some_and(|e| e.own <= 2);
         let sent_at = Instant::now();
         let id = head.request_id;
@@ -152,29 +194,30 @@
                         Ok(Ok(b)) => {
                             app.pool.give_back(lease, ka);
                             *r.body_mut() = ProxyBody::Whole(Some(b.to_bytes()));
-                            Ok(settled(job, req, reserved, r))
+                            // An answer that is no stream put nothing out.
+                            attempt.stopped = Evidence::WholeAnswer.proves_stop();
+                            Ok(r)
                         }
                         _ => Err(OwnAnswer::Lost("the answer broke off")),
                     };
                 }
-                let turn = job.way.retained.then(|| TurnClose {
+                let kept = job.way.retained.then(|| TurnClose {
                     record: TurnRecord {
                         id: id.to_string(),
                         chain: opened.chain.iter().map(|t| t.id.clone()).collect(),
-                        program: head.program.unwrap_or("").to_string(),
-                        input: ByteBuf::from(input.to_vec()),
+                        program: turn.program.to_string(),
+                        input: ByteBuf::from(turn.input.to_vec()),
                         output: ByteBuf::new(),
                         engine: write_answered_by(&g.id, mark),
-                        line_tokens: tokens.0,
+                        line_tokens: turn.tokens.0,
                         keep_ms: job.way.retention.as_millis() as u64,
                     },
                     foreign: match last {
-                        Some(l) if l.program != program => opened.chain.clone(),
+                        Some(l) if l.program != turn.program => opened.chain.clone(),
                         _ => Vec::new(),
                     },
-                    req,
                     tokens: 0,
-                    reserved,
+                    claim: None,
                 });
                 let Some(grant) = held.take() else {
                     return Err(OwnAnswer::Lost("the grant is gone"));
@@ -183,15 +226,22 @@
                     app: app.clone(),
                     grant,
                     session: head.session.map(Into::into),
-                    blocks,
+                    blocks: turn.blocks.clone(),
                     retention: job.way.retention,
-                    stride: engine.map_or(1, |e| e.stride),
+                    stride: job
+                        .live
+                        .services
+                        .get(&*job.service)
+                        .and_then(|s| s.engine.as_ref())
+                        .map_or(1, |e| e.stride),
                     sent_at,
                     gap_aim: job.way.gap_aim,
                     until: job.until,
                     alone,
                     request_id: id.to_string(),
-                    turn,
+                    turn: kept,
+                    // From here on the relay holds it.
+                    claim: attempt.claim.take(),
                     keep_alive: ka,
                     seat,
                 };
@@ -199,6 +249,10 @@
                 return Ok(r);
             }
             SendOutcome::NotRun { reached, elsewhere } => {
+                attempt.stopped = match elsewhere {
+                    true => Evidence::Elsewhere.proves_stop(),
+                    false => Evidence::NotRun.proves_stop(),
+                };
                 let now = app.now();
                 let mut sched = locked(&app.sched);
                 sched.not_run(&g, reached, elsewhere, now);
@@ -223,11 +277,3 @@
         }
     }
 }
-
-/// An answer that is no stream put nothing out.
-fn settled(job: &Job<'_>, req: u64, reserved: bool, r: Response<ProxyBody>) -> Response<ProxyBody> {
-    if reserved {
-        job.app.bank.settle(job.head.program.unwrap_or(""), req, 0);
-    }
-    r
-}
--- a/crates/request-proxy/src/prelude.rs
+++ b/crates/request-proxy/src/prelude.rs
@@ -5,7 +5,12 @@
 pub use crate::relay::{EventFault, EventReader, RelayBody};
 pub use crate::sending::{Lease, Pool, SendOutcome};
 pub use crate::turns::{
-    ChainCache, OpenAsk, OpenFault, OpenLedger, OpenStep, Opened, TurnBank, TurnClose,
+    ChainCache, Claim, ClaimAsk, OpenAsk, OpenFault, OpenLedger, OpenStep, Opened, TurnBank,
+    TurnClose,
+};
+pub use dispatcher::prelude::{
+    Call, CallPoint, ClaimDecision, ClaimTally, Epoch, Evidence, Hold, NewAttempt, Pinned,
+    RecoverDecision, RecoverTally,
 };
 pub use feed_follow::prelude::{follow_cells, FeedItem, FeedView, FollowEnv, News, Topics};
 pub use http::request::Parts as RequestParts;
@@ -28,4 +33,5 @@
 pub use statig::prelude::{state_machine, InitializedStateMachine, IntoStateMachineExt};
 pub use std::future::Future;
 pub use std::pin::Pin;
+pub use std::sync::atomic::{AtomicU64, Ordering};
 pub use std::task::{Context, Poll};
--- a/crates/request-proxy/src/relay/body.rs
+++ b/crates/request-proxy/src/relay/body.rs
@@ -18,8 +18,10 @@
     pub until: Instant,
     pub alone: bool,
     pub request_id: String,
-    /// The turn to keep, where the way retains turns.
+    /// The turn to keep, where the route retains turns.
     pub turn: Option<TurnClose>,
+    /// The turn's attempt, held until its result.
+    pub claim: Option<Claim>,
     pub keep_alive: Option<Duration>,
     /// The turn's place in a routing trial.
     pub seat: Option<Seat>,
@@ -213,13 +215,18 @@
         if std::mem::replace(&mut self.granted, false) {
             app.end_grant(&self.end.grant, self.was_read);
         }
+        let tokens = self.reader.events * self.end.stride;
+        let claim = self.end.claim.take();
         self.stage = match self.end.turn.take() {
             None => {
                 self.came_to(true);
+                if let Some(c) = claim {
+                    app.bank.settle(&c, tokens, Evidence::WholeAnswer.proves_stop());
+                }
                 Stage::Over
             }
             Some(mut t) => {
-                t.tokens = self.reader.events * self.end.stride;
+                (t.tokens, t.claim) = (tokens, claim);
                 t.record.output = ByteBuf::from(std::mem::take(&mut self.reader.output));
                 let until = self.end.until + CLOSE_MORE;
                 Stage::Closing(Box::pin(async move { app.bank.close(t, until).await }))
@@ -243,11 +250,11 @@
                 locked(&self.end.app.sched).index.dropped(s);
             }
         }
-        if let Some(t) = self.end.turn.take() {
-            if t.reserved {
-                let tokens = self.reader.events * self.end.stride;
-                self.end.app.bank.settle(&t.record.program, t.req, tokens);
-            }
+        self.end.turn = None;
+        if let Some(c) = self.end.claim.take() {
+            // What clients were handed is known; whether the engine has stopped isn't.
+            let tokens = self.reader.events * self.end.stride;
+            self.end.app.bank.settle(&c, tokens, Evidence::Closed.proves_stop());
         }
     }
 }
--- a/crates/request-proxy/src/turns/bank.rs
+++ b/crates/request-proxy/src/turns/bank.rs
@@ -1,4 +1,5 @@
-//! The proxy's side of the stores: opening, closing and settling turns.
+//! The proxy's side of the stores: turns are claimed and opened, marked, closed and settled. What the
+//! stores' answers come to is decided by the dispatcher and `OpenLedger`.
 use super::cache::ChainCache;
 use super::open::{OpenFault, OpenLedger, OpenStep, Opened};
 use crate::app::locked;
@@ -10,6 +11,13 @@
     set: Mutex<Arc<StoreSet>>,
     links: Mutex<HashMap<String, StoreLink>>,
     cache: Mutex<ChainCache>,
+    node: u64,
+    /// This life of the node: greater than that of every life before it.
+    incarnation: AtomicU64,
+    limits: Limits,
+    began: Instant,
+    /// Leases held here, and whose attempts they are.
+    hold: Mutex<(Hold, HashMap<u64, String>)>,
 }
 
 #[derive(Clone)]
@@ -19,23 +27,50 @@
     suspect: Arc<Mutex<Option<Instant>>>,
 }
 
-/// A turn to be kept, or settled when it came to nothing.
+/// An attempt that this node holds.
+#[derive(Debug, Clone)]
+pub struct Claim {
+    pub program: String,
+    pub req: u64,
+    pub epoch: Epoch,
+    /// The marker of the newest send.
+    pub call: Option<Call>,
+}
+
+impl Claim {
+    /// The terminal result. `stopped`: the execution was seen to stop, or nothing was sent.
+    pub fn settle(&self, tokens: u32, stopped: bool) -> LedgerWrite {
+        let call = self.call.clone().filter(|_| !stopped);
+        LedgerWrite::Settle { req: self.req, epoch: Some(self.epoch), tokens, stopped, call }
+    }
+}
+
+/// A turn to be kept.
 pub struct TurnClose {
     pub record: TurnRecord,
     /// The turns before it, where these were another program's.
     pub foreign: Vec<Arc<TurnRecord>>,
-    pub req: u64,
     pub tokens: u32,
-    /// A reservation was made.
-    pub reserved: bool,
+    pub claim: Option<Claim>,
+}
+
+/// What a turn asks for when it is claimed.
+pub struct ClaimAsk {
+    pub line: u64,
+    pub pinned: Pinned,
+    pub most: u32,
+    pub allowance: Option<u64>,
+    /// Where the launch follows at once: the claim carries the marker.
+    pub engine: Option<String>,
 }
 
 pub struct OpenAsk<'a> {
     pub program: &'a str,
     pub req: u64,
-    pub most: u32,
-    pub allowance: Option<u64>,
+    pub claim: Option<ClaimAsk>,
     pub previous: Option<&'a str>,
+    /// No only for engines that were seen to leave the list.
+    pub listed: &'a (dyn Fn(&str) -> bool + Send + Sync),
 }
 
 const CALL: Duration = Duration::from_millis(900);
@@ -68,9 +103,15 @@
 
 impl TurnBank {
     /// `cache_bytes` bounds the chains that are kept here.
-    pub fn new(zone: String, cache_bytes: usize) -> Self {
+    pub fn new(env: &NodeEnv, cache_bytes: usize) -> Self {
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         TurnBank {
-            zone,
+            zone: env.area.clone(),
+            node: fnv64(env.node_name.as_bytes()),
+            incarnation: AtomicU64::new(unix.map_or(1, |d| d.as_millis() as u64)),
+            limits: env.dispatcher,
+            began: Instant::now(),
+            hold: Mutex::new((Hold::default(), HashMap::new())),
             set: Mutex::new(Arc::new(StoreSet::default())),
             links: Mutex::new(HashMap::new()),
             cache: Mutex::new(ChainCache::new(cache_bytes)),
@@ -107,50 +148,93 @@
         row
     }
 
-    /// Reserves the turn's most tokens on a majority and brings the chain it goes on from. While too
-    /// few stores answer it asks again, until `until`.
-    pub async fn open(&self, ask: OpenAsk<'_>, until: Instant) -> Result<Opened, OpenFault> {
+    fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// The chain up to a turn that was closed here, if all of it is here.
+    pub fn chain_here(&self, previous: Option<&str>) -> Option<Vec<Arc<TurnRecord>>> {
+        match previous {
+            None => Some(Vec::new()),
+            Some(p) => locked(&self.cache).chain(p, Instant::now()),
+        }
+    }
+
+    /// Claims the turn at a majority of its program's group and brings the chain it goes on from. While
+    /// too few stores answer it asks again, until `until`.
+    pub async fn open(
+        self: &Arc<Self>,
+        ask: OpenAsk<'_>,
+        until: Instant,
+    ) -> Result<Opened, OpenFault> {
         let end = until.min(Instant::now() + OPEN);
-        loop {
+        let attempt = ask.claim.as_ref().map(|c| NewAttempt {
+            req: ask.req,
+            line: c.line,
+            number: 0,
+            node: self.node,
+            incarnation: self.incarnation.load(Ordering::Relaxed),
+            consumed: ask.previous.map(|p| fnv64(p.as_bytes())),
+            pinned: c.pinned.clone(),
+            most: c.most,
+            engine: c.engine.clone(),
+        });
+        let sent = self.now();
+        let got = loop {
             let set = self.set();
             let left = end.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                break;
+                break Err(OpenFault::Unsure);
             }
             if set.seated() > 0 {
-                match tokio::time::timeout(left, self.open_under(&set, &ask)).await {
-                    Ok(Ok(Some(o))) => return Ok(o),
+                let under = self.open_under(&set, &ask, attempt.as_ref());
+                match tokio::time::timeout(left, under).await {
+                    Ok(Ok(Some(o))) => break Ok(o),
                     // A store works under a newer set, which has been learnt.
                     Ok(Ok(None)) => continue,
                     Ok(Err(OpenFault::Unsure)) => {}
-                    Ok(Err(f)) => {
-                        self.release(ask.program, ask.req);
-                        return Err(f);
-                    }
-                    Err(_) => break,
+                    Ok(Err(f)) => break Err(f),
+                    Err(_) => break Err(OpenFault::Unsure),
                 }
             }
             tokio::time::sleep(AGAIN).await;
+        };
+        let Some(a) = attempt else { return got };
+        let epoch = a.epoch();
+        let call = a.engine.map(|engine| Call { at: CallPoint(epoch, 1), engine });
+        let claim = Claim { program: ask.program.to_string(), req: ask.req, epoch, call };
+        match got {
+            Ok(o) => {
+                let mut held = locked(&self.hold);
+                held.0.add(ask.req, epoch, self.limits.lease, sent);
+                held.1.insert(ask.req, claim.program.clone());
+                Ok(Opened { claim: Some(claim), ..o })
+            }
+            Err(f) => {
+                // Nothing was sent, and nothing will be.
+                self.settle(&claim, 0, true);
+                Err(f)
+            }
         }
-        self.release(ask.program, ask.req);
-        Err(OpenFault::Unsure)
     }
 
     async fn open_under(
-        &self,
+        self: &Arc<Self>,
         set: &StoreSet,
         ask: &OpenAsk<'_>,
+        attempt: Option<&NewAttempt>,
     ) -> Result<Option<Opened>, OpenFault> {
         let known = ask.previous.and_then(|p| locked(&self.cache).chain(p, Instant::now()));
         let previous = if known.is_some() { None } else { ask.previous };
         let row = self.row(set, ask.program);
         let quorum = set.quorum();
-        let call = |i: usize, e: &StoreEntry| {
+        let claim =
+            attempt.map(|a| LedgerWrite::Claim { attempt: a.clone(), lease: self.limits.lease });
+        let call = |i: usize, e: &StoreEntry, previous: Option<&str>| {
             let q = encode(&StoreCall::Open(OpenCall {
                 version: set.version,
                 program: ask.program.to_string(),
-                req: ask.req,
-                most: ask.most,
+                claim: claim.clone(),
                 prev: previous.map(String::from),
                 want: i == 0 && previous.is_some(),
             }));
@@ -163,7 +247,7 @@
         let mut work = FuturesUnordered::new();
         let mut rest: VecDeque<(usize, &StoreEntry)> = row.iter().copied().enumerate().collect();
         for (i, e) in rest.drain(..quorum.min(row.len())) {
-            work.push(call(i, e));
+            work.push(call(i, e, previous));
         }
         let slow = tokio::time::sleep(SLOW);
         tokio::pin!(slow);
@@ -171,7 +255,9 @@
         let mut asked: Vec<u64> = ids.first().copied().into_iter().collect();
         let mut heard: Vec<u64> = Vec::new();
         let mut elsewhere = None;
-        let mut ledger = OpenLedger::new(row.len(), quorum, ask.req, previous.is_some());
+        let mut ledger = OpenLedger::new(row.len(), quorum, previous.is_some());
+        let line = ask.claim.as_ref().map_or(0, |c| c.line);
+        let mut tally = ClaimTally::new(quorum, ask.req, line, self.limits);
         loop {
             let others: Vec<u64> = heard.iter().chain(&ids).copied().collect();
             match ledger.step(&asked, &others) {
@@ -213,10 +299,14 @@
             match next {
                 Some((id, Ok(StoreReply::Open(r)))) => {
                     heard.push(id);
-                    let knows = r.knows;
-                    ledger.take(id, r);
-                    if !knows {
-                        work.extend(rest.drain(..).map(|(i, e)| call(i, e)));
+                    self.hear_of(r.later);
+                    let granted = r.outcome.as_ref().is_none_or(WriteOutcome::is_granted);
+                    if let (true, Some(o)) = (r.knows, &r.outcome) {
+                        tally.take(id, o, r.view);
+                    }
+                    ledger.take(id, r.knows && granted, r.held, r.turns);
+                    if !(r.knows && granted) {
+                        work.extend(rest.drain(..).map(|(i, e)| call(i, e, previous)));
                     }
                 }
                 Some((_, Ok(StoreReply::Stale(newer)))) => {
@@ -228,7 +318,7 @@
                         self.teach(set, id);
                     }
                     ledger.fail();
-                    work.extend(rest.drain(..).map(|(i, e)| call(i, e)));
+                    work.extend(rest.drain(..).map(|(i, e)| call(i, e, previous)));
                 }
                 None if rest.is_empty() => return Err(OpenFault::Unsure),
                 None => {
@@ -236,13 +326,37 @@
                     for e in row.iter().take(quorum).filter(|e| !heard.contains(&e.id)) {
                         self.link(&e.addr).suspect();
                     }
-                    work.extend(rest.drain(..).map(|(i, e)| call(i, e)));
+                    work.extend(rest.drain(..).map(|(i, e)| call(i, e, previous)));
                 }
             }
         }
-        if let Some(a) = ask.allowance {
-            if ledger.spent() + u64::from(ask.most) > a {
-                return Err(OpenFault::Spent);
+        if let Some(c) = &ask.claim {
+            let decide = |t: &ClaimTally| t.decide(c.allowance, c.most, &ask.listed);
+            let mut decision = decide(&tally);
+            if decision == ClaimDecision::Reread {
+                // The same claim again: what a majority knows once a majority has granted it.
+                let again = row.iter().map(|e| call(1, e, None));
+                let mut work: FuturesUnordered<_> = again.collect();
+                while decision == ClaimDecision::Reread {
+                    match work.next().await {
+                        Some((id, Ok(StoreReply::Open(r)))) if r.knows => {
+                            tally.take_again(id, r.view);
+                            decision = decide(&tally);
+                        }
+                        Some(_) => {}
+                        None => return Err(OpenFault::Unsure),
+                    }
+                }
+            }
+            self.see_to(ask, &tally);
+            match decision {
+                ClaimDecision::Go { .. } => {}
+                ClaimDecision::Spent => return Err(OpenFault::Spent),
+                ClaimDecision::Capacity { in_use, limit, scope } => {
+                    info!("{} of {} attempts of the {:?} hold a slot", in_use, limit, scope);
+                    return Err(OpenFault::Capacity);
+                }
+                _ => return Err(OpenFault::Unsure),
             }
         }
         let chain = known.unwrap_or_else(|| {
@@ -252,7 +366,143 @@
             chain.iter().for_each(|r| cache.put(r.clone(), None));
             chain
         });
-        Ok(Some(Opened { chain }))
+        Ok(Some(Opened { chain, claim: None }))
+    }
+
+    /// A greater incarnation of this node was heard of: the clock went back between two lives.
+    fn hear_of(&self, later: Option<u64>) {
+        if let Some(n) = later {
+            self.incarnation.fetch_max(n + 1, Ordering::Relaxed);
+        }
+    }
+
+    /// What a claim showed of the program's other attempts: those whose holders have lost them are
+    /// recovered, and stops that this node can vouch for are confirmed.
+    fn see_to(self: &Arc<Self>, ask: &OpenAsk<'_>, tally: &ClaimTally) {
+        for w in tally.stopped(&ask.listed) {
+            self.note(ask.program, &w);
+        }
+        let incarnation = self.incarnation.load(Ordering::Relaxed);
+        for w in tally.recoverable(self.node, incarnation) {
+            let (bank, program) = (self.clone(), ask.program.to_string());
+            tokio::spawn(async move { bank.recover(&program, w).await });
+        }
+    }
+
+    /// Takes over an attempt that lapsed. Nobody waits for its answer any more: it is settled, at nothing
+    /// where provably nothing was started, else at its most.
+    async fn recover(&self, program: &str, w: LedgerWrite) {
+        let LedgerWrite::Recover { req, epoch, .. } = w else { return };
+        let mut tally = RecoverTally::new(self.set().quorum(), req, epoch);
+        self.write(program, &w, |id, o| {
+            tally.take(id, o);
+            tally.decide() != RecoverDecision::NeedMore
+        })
+        .await;
+        if let Some(s) = tally.settle() {
+            info!("attempt recovered: {:?}", tally.decide());
+            self.note(program, &s);
+        }
+    }
+
+    /// The fenced write just before an engine is reached; true once a majority holds it.
+    pub async fn mark(&self, claim: &mut Claim, engine: &str) -> bool {
+        let send = claim.call.as_ref().map_or(0, |c| c.at.1) + 1;
+        let at = CallPoint(claim.epoch, send);
+        claim.call = Some(Call { at, engine: engine.to_string() });
+        let engine = engine.to_string();
+        let w = LedgerWrite::Mark { req: claim.req, epoch: claim.epoch, send, engine };
+        self.granted(&claim.program, &w).await
+    }
+
+    /// True once a majority of the program's group has granted the write.
+    async fn granted(&self, program: &str, w: &LedgerWrite) -> bool {
+        let (quorum, mut n) = (self.set().quorum(), 0);
+        let enough = |_: u64, o: &WriteOutcome| {
+            n += usize::from(o.is_granted());
+            n >= quorum
+        };
+        self.write(program, w, enough).await
+    }
+
+    /// Sends a write to all of the program's group until `on` has heard enough; false when it has not.
+    async fn write(
+        &self,
+        program: &str,
+        w: &LedgerWrite,
+        mut on: impl FnMut(u64, &WriteOutcome) -> bool,
+    ) -> bool {
+        let set = self.set();
+        let write = w.clone();
+        let q = encode(&StoreCall::Write { version: set.version, program: program.into(), write });
+        let asks = self.row(&set, program).into_iter().map(|e| {
+            let (link, q, id) = (self.link(&e.addr), q.clone(), e.id);
+            async move { (id, link.call(q, CALL).await) }
+        });
+        let mut work: FuturesUnordered<_> = asks.collect();
+        while let Some((id, r)) = work.next().await {
+            match r {
+                Ok(StoreReply::Written { knows: true, outcome }) if on(id, &outcome) => {
+                    return true
+                }
+                Ok(StoreReply::Stale(newer)) => self.learn(newer),
+                Ok(StoreReply::Behind) => self.teach(&set, id),
+                _ => {}
+            }
+        }
+        false
+    }
+
+    /// Renews the leases that are due; called regularly.
+    pub fn hold_on(self: &Arc<Self>) {
+        let now = self.now();
+        let mut held = locked(&self.hold);
+        for w in held.0.tick(now) {
+            let LedgerWrite::Renew { req, .. } = w else { continue };
+            let Some(program) = held.1.get(&req).cloned() else { continue };
+            let bank = self.clone();
+            tokio::spawn(async move {
+                if bank.granted(&program, &w).await {
+                    locked(&bank.hold).0.renewed(req, now);
+                }
+            });
+        }
+        for req in held.0.expired(now) {
+            held.1.remove(&req);
+            warn!("a lease found no majority and is given up");
+        }
+    }
+
+    /// Gives up all leases that are still held, so that others may recover what is left.
+    pub fn release_all(&self) {
+        let mut held = locked(&self.hold);
+        let all: Vec<(u64, String)> = held.1.drain().collect();
+        for (req, program) in all {
+            if let Some(epoch) = held.0.epoch(req) {
+                held.0.done(req);
+                self.note(&program, &LedgerWrite::Release { req, epoch });
+            }
+        }
+    }
+
+    fn let_go(&self, req: u64) {
+        let mut held = locked(&self.hold);
+        held.0.done(req);
+        held.1.remove(&req);
+    }
+
+    fn note(&self, program: &str, w: &LedgerWrite) {
+        let set = self.set();
+        let q = StoreCall::Note { program: program.to_string(), write: w.clone() };
+        for e in self.row(&set, program) {
+            self.link(&e.addr).caller.tell(&q);
+        }
+    }
+
+    /// Settles a turn that doesn't count, at what was put out.
+    pub fn settle(&self, claim: &Claim, tokens: u32, stopped: bool) {
+        self.let_go(claim.req);
+        self.note(&claim.program, &claim.settle(tokens, stopped));
     }
 
     /// Looks for a turn at every store; none when the set has changed meanwhile.
@@ -291,8 +541,7 @@
             }
             match work.next().await {
                 Some((at, Ok(StoreReply::Found { whole, held, turns }))) => {
-                    let r = OpenReply { knows: whole, ledger: Vec::new(), held, turns };
-                    ledger.take(at, r);
+                    ledger.take(at, whole, held, turns);
                 }
                 Some((_, Ok(StoreReply::Stale(newer)))) => {
                     self.learn(newer);
@@ -316,24 +565,14 @@
         }
     }
 
-    /// Gives a reservation back: nothing was put out.
-    pub fn release(&self, program: &str, req: u64) {
-        self.settle(program, req, 0);
-    }
-
-    /// Settles a turn that doesn't count, at what was put out.
-    pub fn settle(&self, program: &str, req: u64, tokens: u32) {
-        let set = self.set();
-        let q = StoreCall::Settle { program: program.to_string(), req, tokens };
-        for e in self.row(&set, program) {
-            self.link(&e.addr).caller.tell(&q);
-        }
-    }
-
     /// Keeps a turn with a majority of its program's group and settles it; true once all of these have
     /// synced it. Whoever is slow or away is helped by the group's others.
     pub async fn close(&self, c: TurnClose, until: Instant) -> bool {
-        let TurnClose { record, foreign, req, tokens, reserved } = c;
+        let TurnClose { record, foreign, tokens, claim } = c;
+        let settle = claim.as_ref().map(|c| c.settle(tokens, true));
+        if let Some(c) = &claim {
+            self.let_go(c.req);
+        }
         let program = record.program.clone();
         let record = Arc::new(record);
         loop {
@@ -343,12 +582,11 @@
                     version: set.version,
                     record: TurnRecord::clone(&record),
                     foreign: foreign.iter().map(|r| TurnRecord::clone(r)).collect(),
-                    req,
-                    tokens,
+                    settle: settle.clone(),
                 };
-                let settle = StoreCall::Settle { program: program.clone(), req, tokens };
-                let settle = reserved.then_some(&settle);
-                if self.close_under(&set, &program, encode(&q), settle, until).await {
+                let note =
+                    settle.clone().map(|write| StoreCall::Note { program: program.clone(), write });
+                if self.close_under(&set, &program, encode(&q), note.as_ref(), until).await {
                     locked(&self.cache).put(record, Some(Instant::now()));
                     return true;
                 }
--- a/crates/request-proxy/src/turns/mod.rs
+++ b/crates/request-proxy/src/turns/mod.rs
@@ -3,6 +3,6 @@
 mod cache;
 mod open;
 
-pub use bank::{OpenAsk, TurnBank, TurnClose};
+pub use bank::{Claim, ClaimAsk, OpenAsk, TurnBank, TurnClose};
 pub use cache::ChainCache;
 pub use open::{OpenFault, OpenLedger, OpenStep, Opened};
--- a/crates/request-proxy/src/turns/open.rs
+++ b/crates/request-proxy/src/turns/open.rs
@@ -5,6 +5,8 @@
 pub enum OpenFault {
     /// The allowance has no room for the most of this turn.
     Spent,
+    /// Too many attempts of the line, or of the program, hold a slot.
+    Capacity,
     /// No store of the group holds the earlier turn.
     NoTurn,
     /// Too few stores answered to be sure.
@@ -15,13 +17,13 @@
 pub struct Opened {
     /// The chain, oldest first.
     pub chain: Vec<Arc<TurnRecord>>,
+    /// The attempt that this node holds now.
+    pub claim: Option<Claim>,
 }
 
-/// Invariants: only stores that know the program whole count as answered; an entry that any store calls
-/// settled counts as settled; every other counts at its most. `yes` holds chains as stores told them;
-/// `turns` what was brought of them.
+/// Whether the turn before is found, and its chain. Invariants: only stores that know the program whole
+/// count as answered; `yes` holds chains as stores told them; `turns` what was brought of them.
 pub struct OpenLedger {
-    pub req: u64,
     /// Stores in the program's group, and how many of them must answer.
     pub size: usize,
     pub quorum: usize,
@@ -32,7 +34,6 @@
     /// Those that failed, or don't know the program whole.
     pub failed: usize,
     pub said_no: usize,
-    entries: HashMap<u64, LedgerEntry>,
     pub yes: Vec<(u64, Vec<String>)>,
     pub turns: HashMap<String, TurnRecord>,
 }
@@ -48,9 +49,8 @@
 }
 
 impl OpenLedger {
-    pub fn new(size: usize, quorum: usize, req: u64, wants_turn: bool) -> Self {
+    pub fn new(size: usize, quorum: usize, wants_turn: bool) -> Self {
         OpenLedger {
-            req,
             size,
             quorum,
             noes: quorum,
@@ -58,7 +58,6 @@
             answered: 0,
             failed: 0,
             said_no: 0,
-            entries: HashMap::new(),
             yes: Vec::new(),
             turns: HashMap::new(),
         }
@@ -68,25 +67,20 @@
     /// with a majority of some group: it is nowhere when all but the tolerated losses say no.
     pub fn search(set: &StoreSet, size: usize) -> Self {
         let noes = set.seated().saturating_sub(set.tolerated as usize).max(1);
-        OpenLedger { noes, ..OpenLedger::new(size, 0, 0, true) }
+        OpenLedger { noes, ..OpenLedger::new(size, 0, true) }
     }
 
-    pub fn take(&mut self, store: u64, r: OpenReply) {
-        match r.knows {
+    /// Takes a store's answer; `counts` tells that it knows the program whole and granted the claim.
+    pub fn take(&mut self, store: u64, counts: bool, held: Held, turns: Vec<TurnRecord>) {
+        match counts {
             true => self.answered += 1,
             false => self.failed += 1,
         }
-        for e in r.ledger {
-            let old = self.entries.entry(e.req).or_insert(e);
-            if e.settled && !old.settled {
-                *old = e;
-            }
-        }
-        match r.held {
+        match held {
             Held::Yes(ids) => self.yes.push((store, ids)),
-            Held::No => self.said_no += usize::from(r.knows),
+            Held::No => self.said_no += usize::from(counts),
         }
-        self.bring(r.turns);
+        self.bring(turns);
     }
 
     pub fn bring(&mut self, turns: Vec<TurnRecord>) {
@@ -103,11 +97,6 @@
         self.answered + self.failed >= self.size
     }
 
-    /// Tokens that all other turns put out, or may yet.
-    pub fn spent(&self) -> u64 {
-        self.entries.values().filter(|e| e.req != self.req).map(|e| u64::from(e.tokens)).sum()
-    }
-
     fn missing(&self) -> Option<Vec<String>> {
         let (_, ids) = self.yes.first()?;
         Some(ids.iter().filter(|i| !self.turns.contains_key(*i)).cloned().collect())
--- a/crates/session-index/src/engines/mod.rs
+++ b/crates/session-index/src/engines/mod.rs
@@ -69,8 +69,12 @@
     by_key: HashMap<EngineKey, usize>,
     by_service: HashMap<Arc<str>, Vec<usize>>,
     areas: BTreeMap<String, Vec<EngineKey>>,
+    /// Lives that were on the list and have left it, oldest first, as many as are remembered.
+    left: VecDeque<EngineKey>,
 }
 
+const LEFT_KEPT: usize = 4096;
+
 impl EngineTable {
     pub fn get(&self, key: EngineKey) -> Option<&EngineRow> {
         self.by_key.get(&key).map(|i| &self.rows[*i])
@@ -104,6 +108,10 @@
         let before = self.areas.insert(t.area.clone(), now.clone()).unwrap_or_default();
         let gone: Vec<EngineKey> = before.into_iter().filter(|k| !now.contains(k)).collect();
         for k in &gone {
+            self.left.push_back(*k);
+            if self.left.len() > LEFT_KEPT {
+                self.left.pop_front();
+            }
             if let Some(i) = self.by_key.remove(k) {
                 let r = self.rows.remove(i);
                 evidence.remove(*k, !r.draining);
@@ -115,6 +123,11 @@
         gone
     }
 
+    /// Whether a life was on the list and has left it.
+    pub fn has_left(&self, key: EngineKey) -> bool {
+        !self.by_key.contains_key(&key) && self.left.contains(&key)
+    }
+
     fn add(&mut self, e: &EngineEntry, key: EngineKey, addr: SocketAddr) {
         let service: Arc<str> = e.service.as_str().into();
         let i = self.rows.insert(EngineRow {
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -160,15 +160,21 @@
         }
     }
 
+    /// A grant, if the request may go at once.
+    pub fn place_now(&mut self, ask: &Ask, now: Duration) -> Option<Grant> {
+        if self.waitlist.is_waiting(&ask.service, ask.priority) {
+            return None;
+        }
+        let g = self.elect(ask, now)?;
+        Some(self.begin(ask, g, now))
+    }
+
     pub fn place(&mut self, ask: Ask, now: Duration) -> Placed {
         if self.engines.of_service(&ask.service).next().is_none() {
             return Placed::Shed(Duration::from_millis(300));
         }
-        let ahead = self.waitlist.is_waiting(&ask.service, ask.priority);
-        if !ahead {
-            if let Some(g) = self.elect(&ask, now) {
-                return Placed::Go(self.begin(&ask, g, now));
-            }
+        if let Some(g) = self.place_now(&ask, now) {
+            return Placed::Go(g);
         }
         let wait = self.expected_wait(&ask, now);
         if self.waitlist.len() >= self.tuning.most_waiting || wait > ask.budget / 2 {
--- a/crates/stand-ins/tests/routing_trial.rs
+++ b/crates/stand-ins/tests/routing_trial.rs
@@ -125,8 +125,11 @@
     })
     .await;
     for front in 0..2 {
+        // Every try has an id of its own.
+        let mut n = 0;
         until("engines and stores", async || {
-            turn(front, &format!("z{front}"), None, "none").await.status == 200
+            n += 1;
+            turn(front, &format!("z{front}-{n}"), None, "none").await.status == 200
         })
         .await;
     }
--- a/crates/stand-ins/tests/store_schedules.rs
+++ b/crates/stand-ins/tests/store_schedules.rs
@@ -3,6 +3,7 @@
 //! sets; copying comes in any order. No turn that was acknowledged is ever called unknown, and no open
 //! misses a reservation that was acknowledged.
 use control_cell::prelude::{next_stores, StoreSight};
+use dispatcher::prelude::{ClaimDecision, ClaimTally, NewAttempt, Pinned, Reread};
 use request_proxy::prelude::{OpenFault, OpenLedger, OpenStep};
 use stand_ins::prelude::*;
 use turn_store::prelude::*;
@@ -28,14 +29,14 @@
             id,
             log: Vec::new(),
             whole,
-            tables: StoreTables::new(Knowledge::new(id, whole)),
+            tables: StoreTables::new(Knowledge::new(id, whole), Limits::default()),
             up: true,
             dead: false,
         }
     }
 
     fn restart(&mut self) {
-        self.tables = StoreTables::new(Knowledge::new(self.id, self.whole));
+        self.tables = StoreTables::new(Knowledge::new(self.id, self.whole), Limits::default());
         self.log.iter().for_each(|l| self.tables.take(l.clone(), NOW));
         self.up = true;
     }
@@ -64,6 +65,22 @@
 const NOW: Duration = Duration::from_secs(5);
 const PROGRAMS: u64 = 6;
 
+const LEASE: Duration = Duration::from_secs(60);
+
+fn attempt(req: u64) -> NewAttempt {
+    NewAttempt {
+        req,
+        line: req,
+        number: 0,
+        node: 1,
+        incarnation: 1,
+        consumed: None,
+        pinned: Pinned::default(),
+        most: 10,
+        engine: None,
+    }
+}
+
 struct World {
     tolerated: u32,
     zones: u64,
@@ -201,14 +218,17 @@
         let program = format!("p{p}");
         let group = set.group(StoreSet::key_of(&program));
         let order = shuffled(u, &group)?;
-        let mut l = OpenLedger::new(group.len(), set.quorum(), req, prev.is_some());
+        let mut l = OpenLedger::new(group.len(), set.quorum(), prev.is_some());
+        let limits = Limits { per_line: 0, reread: Reread::Never, ..Limits::default() };
+        let mut tally = ClaimTally::new(set.quorum(), req, req, limits);
         let mut asked = Vec::new();
         let mut rest = order.iter();
         loop {
             match l.step(&asked, &group) {
                 OpenStep::Ready => {
-                    let spent = l.spent();
-                    return Ok(Ok((spent, l.chain())));
+                    let go = tally.decide(None, 10, &|_| true);
+                    assert!(matches!(go, ClaimDecision::Go { .. }), "{go:?}");
+                    return Ok(Ok((tally.spent(), l.chain())));
                 }
                 OpenStep::Fault(OpenFault::NoTurn) => return self.search(set, prev),
                 OpenStep::Fault(f) => return Ok(Err(f)),
@@ -226,13 +246,19 @@
             let q = StoreCall::Open(OpenCall {
                 version: set.version,
                 program: program.clone(),
-                req,
-                most: 10,
+                claim: Some(LedgerWrite::Claim { attempt: attempt(req), lease: LEASE }),
                 prev: prev.map(String::from),
                 want: u.arbitrary()?,
             });
             match self.at(*id).and_then(|s| s.call(q)) {
-                Some(StoreReply::Open(r)) => l.take(*id, r),
+                Some(StoreReply::Open(r)) => {
+                    let outcome = r.outcome.unwrap();
+                    let counts = r.knows && outcome.is_granted();
+                    if r.knows {
+                        tally.take(*id, &outcome, r.view);
+                    }
+                    l.take(*id, counts, r.held, r.turns);
+                }
                 _ => l.fail(),
             }
         }
@@ -249,7 +275,7 @@
             let q = StoreCall::Find { version: set.version, id: prev.unwrap_or("").into() };
             match self.at(*id).and_then(|s| s.call(q)) {
                 Some(StoreReply::Found { whole, held, turns }) => {
-                    l.take(*id, OpenReply { knows: whole, ledger: Vec::new(), held, turns });
+                    l.take(*id, whole, held, turns);
                 }
                 _ => l.fail(),
             }
@@ -327,14 +353,15 @@
         };
         // From here on four tokens are what was put out, whoever hears of it.
         self.ledger[p as usize].insert(req, 4);
+        let epoch = Some(attempt(req).epoch());
+        let settle = LedgerWrite::Settle { req, epoch, tokens: 4, stopped: true, call: None };
         let mut kept = 0;
         for s in group {
             let q = StoreCall::Close {
                 version: set.version,
                 record: record.clone(),
                 foreign: foreign.clone(),
-                req,
-                tokens: 4,
+                settle: Some(settle.clone()),
             };
             if let Some(StoreReply::Done) = self.at(s).and_then(|s| s.call(q)) {
                 kept += 1;
@@ -425,7 +452,8 @@
             assert!(s.is_whole(), "{} isn't whole again", s.name);
         }
         for (p, id, _) in self.turns.clone() {
-            let got = self.open(u, &set, p, 0, Some(&id))?;
+            self.next_req += 1;
+            let got = self.open(u, &set, p, self.next_req, Some(&id))?;
             assert!(got.is_ok(), "{id} of p{p}: {got:?}");
         }
         Ok(())
--- a/crates/stand-ins/tests/whole_path.rs
+++ b/crates/stand-ins/tests/whole_path.rs
@@ -163,8 +163,11 @@
         a.is_some_and(|a| a.status == 200)
     })
     .await;
+    // Every try has an id of its own.
+    let mut n = 0;
     until("engines and stores", async || {
-        turn("t0", None, "10", "100000", b"zero").await.status == 200
+        n += 1;
+        turn(&format!("t0-{n}"), None, "10", "100000", b"zero").await.status == 200
     })
     .await;
 
--- a/crates/turn-store/src/owner/work.rs
+++ b/crates/turn-store/src/owner/work.rs
@@ -4,7 +4,7 @@
 use node_base::env::STORE_PORT;
 
 pub enum StoreCommand {
-    Call(StoreCall, oneshot::Sender<StoreReply>),
+    Call(Box<StoreCall>, oneshot::Sender<StoreReply>),
     Learn(StoreSet),
     /// Rows of another store; gives back which turns, as (program, id), are not here.
     Merge(Vec<SyncRow>, oneshot::Sender<Vec<(String, String)>>),
@@ -34,7 +34,7 @@
 impl StoreHandle {
     pub async fn answer(&self, q: StoreCall) -> Option<StoreReply> {
         let (tx, rx) = oneshot::channel();
-        self.queue.send(StoreCommand::Call(q, tx)).await.ok()?;
+        self.queue.send(StoreCommand::Call(Box::new(q), tx)).await.ok()?;
         rx.await.ok()
     }
 
@@ -97,7 +97,7 @@
             i
         }
     };
-    let mut tables = StoreTables::new(Knowledge::new(ident.id, ident.whole));
+    let mut tables = StoreTables::new(Knowledge::new(ident.id, ident.whole), env.dispatcher);
     let mut bad = 0u64;
     let log = SegmentLog::open(&dir.join("log"), |_, b| match decode::<Logged>(b) {
         Some(l) => tables.take(l, Duration::ZERO),
@@ -193,12 +193,13 @@
     ) {
         let now = self.began.elapsed();
         match c {
-            StoreCommand::Call(StoreCall::Learn { set }, tx) => {
-                self.learn(set);
-                replies.push((tx, StoreReply::Done));
-            }
             StoreCommand::Call(q, tx) => {
-                let mut r = self.tables.call(q, now, log);
+                if let StoreCall::Learn { set } = *q {
+                    self.learn(set);
+                    replies.push((tx, StoreReply::Done));
+                    return;
+                }
+                let mut r = self.tables.call(*q, now, log);
                 if let StoreReply::Told { name, disk_bytes, .. } = &mut r {
                     name.clone_from(&self.name);
                     *disk_bytes = self.log.segment_len();
--- a/crates/turn-store/src/tables/mod.rs
+++ b/crates/turn-store/src/tables/mod.rs
@@ -7,7 +7,7 @@
     #[serde(rename = "t")]
     Turn(TurnRecord),
     #[serde(rename = "l")]
-    Ledger { program: String, entry: LedgerEntry },
+    Attempt { program: String, record: AttemptRecord },
     /// A turn that a program goes on from, kept with it though it is another program's.
     #[serde(rename = "f")]
     Foreign { program: String, record: TurnRecord },
@@ -19,19 +19,20 @@
 }
 
 /// Invariant: `turns` names the turns of the program that are here.
-#[derive(Default)]
 struct Program {
-    entries: Vec<LedgerEntry>,
+    ledger: ProgramLedger,
     turns: Vec<String>,
     until: Duration,
 }
 
-/// Invariants: a settled entry never becomes unsettled, nor changes; a turn is here from the moment
+/// Invariants: `lives` is what this process has heard; a turn is here from the moment
 /// its record was given until `until`, which is never before its retention has passed.
 pub struct StoreTables {
     pub knowledge: Knowledge,
     turns: HashMap<String, TurnRow>,
     programs: BTreeMap<String, Program>,
+    limits: Limits,
+    lives: Lives,
 }
 
 /// A ledger lasts longer than any program that goes on.
@@ -42,8 +43,24 @@
 const SYNC_PAGE: usize = 300;
 
 impl StoreTables {
-    pub fn new(knowledge: Knowledge) -> Self {
-        StoreTables { knowledge, turns: HashMap::new(), programs: BTreeMap::new() }
+    /// Of `limits`, the lease and the slack are used here.
+    pub fn new(knowledge: Knowledge, limits: Limits) -> Self {
+        StoreTables {
+            knowledge,
+            turns: HashMap::new(),
+            programs: BTreeMap::new(),
+            limits,
+            lives: Lives::default(),
+        }
+    }
+
+    fn program(&mut self, name: &str) -> &mut Program {
+        let limits = self.limits;
+        self.programs.entry(name.to_string()).or_insert_with(|| Program {
+            ledger: ProgramLedger::new(limits),
+            turns: Vec::new(),
+            until: Duration::ZERO,
+        })
     }
 
     /// Turns and programs here.
@@ -67,15 +84,17 @@
                 self.keep(program, record, now);
             }
             Logged::Foreign { program, record } => self.keep(program, record, now),
-            Logged::Ledger { program, entry } => {
-                self.enter(program, entry, now);
+            Logged::Attempt { program, record } => {
+                let p = self.program(&program);
+                p.until = p.until.max(now + LEDGER_KEPT);
+                p.ledger.replay(&record, now);
             }
         }
     }
 
     fn keep(&mut self, program: String, record: TurnRecord, now: Duration) {
         let until = now + Self::keep_for(&record);
-        let p = self.programs.entry(program).or_default();
+        let p = self.program(&program);
         p.until = p.until.max(until);
         if !p.turns.contains(&record.id) {
             p.turns.push(record.id.clone());
@@ -84,21 +103,34 @@
         row.until = row.until.max(until);
     }
 
-    /// True when the ledger changed.
-    fn enter(&mut self, program: String, entry: LedgerEntry, now: Duration) -> bool {
-        let p = self.programs.entry(program).or_default();
+    /// Applies a write of the dispatcher; what it changed is logged before its outcome is told.
+    fn write(
+        &mut self,
+        program: &str,
+        w: &LedgerWrite,
+        now: Duration,
+        log: &mut Vec<Logged>,
+    ) -> WriteOutcome {
+        let lives = std::mem::take(&mut self.lives);
+        let p = self.program(program);
         p.until = p.until.max(now + LEDGER_KEPT);
-        match p.entries.iter_mut().find(|e| e.req == entry.req) {
-            Some(e) if e.settled || !entry.settled => false,
-            Some(e) => {
-                *e = entry;
-                true
-            }
-            None => {
-                p.entries.push(entry);
-                true
-            }
+        let done = p.ledger.apply(w, now, &lives);
+        self.lives = lives;
+        if let Some(record) = done.log {
+            log.push(Logged::Attempt { program: program.to_string(), record });
         }
+        done.outcome
+    }
+
+    /// A node spoke; gives back a later life of it, if one is known.
+    fn hear(&mut self, claim: &Option<LedgerWrite>) -> Option<u64> {
+        let Some(LedgerWrite::Claim { attempt, .. }) = claim else { return None };
+        self.lives.saw(attempt.node, attempt.incarnation);
+        self.lives.newest(attempt.node).filter(|n| *n > attempt.incarnation)
+    }
+
+    fn attempts(&self) -> impl Iterator<Item = &AttemptRecord> {
+        self.programs.values().flat_map(|p| p.ledger.records())
     }
 
     /// A store has given all it knows; true when this one is whole by that.
@@ -124,18 +156,21 @@
                 if let Some(r) = self.fenced(o.version) {
                     return r;
                 }
-                let entry = LedgerEntry { req: o.req, tokens: o.most, settled: false };
-                if o.most > 0 && self.enter(o.program.clone(), entry, now) {
-                    log.push(Logged::Ledger { program: o.program.clone(), entry });
-                }
-                let ledger =
-                    self.programs.get(&o.program).map_or_else(Vec::new, |p| p.entries.clone());
+                let later = self.hear(&o.claim);
+                let outcome = o.claim.as_ref().map(|w| self.write(&o.program, w, now, log));
+                let view = match outcome {
+                    None => ProgramView::default(),
+                    Some(_) => self
+                        .programs
+                        .get(&o.program)
+                        .map_or_else(ProgramView::default, |p| p.ledger.view(now, &self.lives)),
+                };
                 let (held, turns) = match &o.prev {
                     None => (Held::No, Vec::new()),
                     Some(id) => self.chain(id, o.want, now),
                 };
                 let knows = self.knowledge.knows(StoreSet::key_of(&o.program));
-                StoreReply::Open(OpenReply { knows, ledger, held, turns })
+                StoreReply::Open(OpenReply { knows, outcome, view, later, held, turns })
             }
             StoreCall::Fetch { ids } => {
                 let got = ids.iter().filter_map(|i| self.turns.get(i)).map(|r| r.record.clone());
@@ -150,29 +185,38 @@
                 let whole = k.whole.is_some_and(|w| w.1 >= k.set.version);
                 StoreReply::Found { whole, held, turns }
             }
-            StoreCall::Close { version, record, foreign, req, tokens } => {
+            StoreCall::Close { version, record, foreign, settle } => {
                 if let Some(r) = self.fenced(version) {
                     return r;
                 }
+                // Under an epoch that has lost its authority nothing is kept.
+                if let Some(w) = settle {
+                    let outcome = self.write(&record.program, &w, now, log);
+                    if !outcome.is_granted() {
+                        return StoreReply::Written { knows: true, outcome };
+                    }
+                }
                 for f in foreign {
                     let l = Logged::Foreign { program: record.program.clone(), record: f };
                     log.push(l.clone());
                     self.take(l, now);
                 }
-                let entry = LedgerEntry { req, tokens, settled: true };
-                let program = record.program.clone();
-                if self.enter(program.clone(), entry, now) {
-                    log.push(Logged::Ledger { program, entry });
-                }
                 log.push(Logged::Turn(record.clone()));
                 self.take(Logged::Turn(record), now);
                 StoreReply::Done
             }
-            StoreCall::Settle { program, req, tokens } => {
-                let entry = LedgerEntry { req, tokens, settled: true };
-                if self.enter(program.clone(), entry, now) {
-                    log.push(Logged::Ledger { program, entry });
+            StoreCall::Write { version, program, write } => {
+                if let Some(r) = self.fenced(version) {
+                    return r;
+                }
+                let outcome = self.write(&program, &write, now, log);
+                StoreReply::Written {
+                    knows: self.knowledge.knows(StoreSet::key_of(&program)),
+                    outcome,
                 }
+            }
+            StoreCall::Note { program, write } => {
+                self.write(&program, &write, now, log);
                 StoreReply::Done
             }
             StoreCall::Sync(q) => self.sync(q),
@@ -182,6 +226,9 @@
                 name: String::new(),
                 turns: self.turns.len() as u64,
                 programs: self.programs.len() as u64,
+                unfinished: self.attempts().filter(|r| !r.is_settled()).count() as u64,
+                unstopped: self.attempts().filter(|r| r.is_settled() && !r.is_stopped()).count()
+                    as u64,
                 version: self.knowledge.set.version,
                 disk_bytes: 0,
                 fresh: self.knowledge.whole.is_none(),
@@ -208,7 +255,7 @@
                 more = rows.last().map(|r: &SyncRow| r.program.clone());
                 break;
             }
-            let (ledger, turns) = (p.entries.clone(), p.turns.clone());
+            let (ledger, turns) = (p.ledger.records().cloned().collect(), p.turns.clone());
             rows.push(SyncRow { program: program.clone(), ledger, turns });
         }
         StoreReply::Sync(SyncReply { whole: self.knowledge.whole, rows, more })
@@ -247,10 +294,8 @@
                 self.take(l, now);
             }
         }
-        for entry in row.ledger {
-            if self.enter(row.program.clone(), entry, now) {
-                log.push(Logged::Ledger { program: row.program.clone(), entry });
-            }
+        for record in row.ledger {
+            self.write(&row.program, &LedgerWrite::Merge(record), now, log);
         }
         let lacking = row.turns.into_iter().filter(|t| !self.turns.contains_key(t));
         lacking.map(|t| (row.program.clone(), t)).collect()
--- a/crates/turn-store/tests/tables.rs
+++ b/crates/turn-store/tests/tables.rs
@@ -1,10 +1,11 @@
 //! A store's tables on traces and generated orders.
+use dispatcher::prelude::{Epoch, NewAttempt, Pinned};
 use turn_store::prelude::*;
 
 fn tables(whole: Option<(u64, u64)>) -> StoreTables {
     let mut k = Knowledge::new(1, whole);
     k.learn(set_of(&[1, 2, 3]));
-    StoreTables::new(k)
+    StoreTables::new(k, Limits::default())
 }
 
 fn set_of(ids: &[u64]) -> StoreSet {
@@ -37,19 +38,42 @@
     }
 }
 
+fn attempt(req: u64, most: u32) -> NewAttempt {
+    let pinned = Pinned { service: "s".into(), deadline_ms: 6000, ..Pinned::default() };
+    let (node, incarnation) = (5, 100 + req);
+    NewAttempt {
+        req,
+        line: 7,
+        number: 0,
+        node,
+        incarnation,
+        consumed: None,
+        pinned,
+        most,
+        engine: None,
+    }
+}
+
+fn claim(a: NewAttempt) -> LedgerWrite {
+    LedgerWrite::Claim { attempt: a, lease: Duration::from_secs(60) }
+}
+
+fn settle(req: u64, epoch: Option<Epoch>, tokens: u32) -> LedgerWrite {
+    LedgerWrite::Settle { req, epoch, tokens, stopped: true, call: None }
+}
+
 fn open(version: u64, req: u64, most: u32, prev: Option<&str>) -> StoreCall {
     StoreCall::Open(OpenCall {
         version,
         program: "p".into(),
-        req,
-        most,
+        claim: Some(claim(attempt(req, most))),
         prev: prev.map(String::from),
         want: true,
     })
 }
 
 fn close(r: TurnRecord, foreign: Vec<TurnRecord>) -> StoreCall {
-    StoreCall::Close { version: 1, record: r, foreign, req: 1, tokens: 5 }
+    StoreCall::Close { version: 1, record: r, foreign, settle: Some(settle(1, None, 5)) }
 }
 
 const NOW: Duration = Duration::from_secs(1);
@@ -66,7 +90,9 @@
     let StoreReply::Open(o) = t.call(open(1, 9, 50, Some("c")), at(2), &mut log) else { panic!() };
     assert!(matches!(&o.held, Held::Yes(ids) if ids == &["a", "b", "c"]));
     assert!(o.knows);
-    assert_eq!((o.turns.len(), o.ledger.len()), (3, 2));
+    assert_eq!(o.turns.len(), 3);
+    assert!(matches!(o.outcome, Some(WriteOutcome::Claimed { .. })));
+    assert_eq!((o.view.finished.0.len(), o.view.live.len()), (1, 1));
     t.expire(at(50));
     assert_eq!(t.counts().0, 3);
     t.expire(at(100));
@@ -112,8 +138,43 @@
     }
 }
 
-/// Whatever the order of reservations, settlements and repeats, a settled entry stays, and tables
-/// rebuilt from the log, or by another store from this one, are the same.
+/// A turn whose attempt was taken over isn't kept for the one that lost it; a later life of a node is
+/// told to an earlier one, and its attempts lapse.
+#[test]
+fn a_close_under_an_epoch_that_lost_its_authority_keeps_nothing() {
+    let mut t = tables(Some((1, 1)));
+    let mut log = Vec::new();
+    let old = attempt(1, 50);
+    let epoch = old.epoch();
+    t.call(open(1, 1, 50, None), NOW, &mut log);
+    let write = |w| StoreCall::Write { version: 1, program: "p".into(), write: w };
+    let (node, incarnation, line) = (6, 1, 7);
+    let next = epoch.next(node, incarnation, 9);
+    let lease = Duration::from_secs(60);
+    let over =
+        || LedgerWrite::Recover { req: 1, epoch: next, node, incarnation, line, most: 50, lease };
+    let StoreReply::Written { outcome, .. } = t.call(write(over()), NOW, &mut log) else {
+        panic!()
+    };
+    assert_eq!(outcome, WriteOutcome::Held, "its lease runs");
+    // The same node in a later life: what it held before has lapsed.
+    t.call(open(1, 2, 50, None), NOW, &mut log);
+    let StoreReply::Written { outcome, .. } = t.call(write(over()), NOW, &mut log) else {
+        panic!()
+    };
+    assert!(matches!(outcome, WriteOutcome::Recovered { call: None, .. }));
+    let (record, foreign) = (record("p", "a", &[]), Vec::new());
+    let late =
+        StoreCall::Close { version: 1, record, foreign, settle: Some(settle(1, Some(epoch), 5)) };
+    let StoreReply::Written { outcome, .. } = t.call(late, NOW, &mut log) else { panic!() };
+    assert!(matches!(outcome, WriteOutcome::Fenced { .. }));
+    assert!(!t.has_turn("a"));
+    let StoreReply::Open(o) = t.call(open(1, 1, 50, None), NOW, &mut log) else { panic!() };
+    assert_eq!(o.later, Some(102), "its clock went back: a later life of it spoke before");
+}
+
+/// Whatever the order of claims, settlements and repeats, tables rebuilt from the log, or by another
+/// store from this one, are the same.
 #[test]
 fn the_ledger_rebuilt_from_its_log_is_the_same() {
     for seed in 0..200u64 {
@@ -125,11 +186,11 @@
                 let req = u.int_in_range(1..=6u64)?;
                 let tokens = u.int_in_range(1..=90u32)?;
                 if u.arbitrary()? {
-                    t.call(open(1, req, tokens, None), NOW, &mut log);
+                    t.call(open(1, req, 90, None), NOW, &mut log);
                 } else {
                     settled.entry(req).or_insert(tokens);
-                    let q = StoreCall::Settle { program: "p".into(), req, tokens };
-                    t.call(q, NOW, &mut log);
+                    let write = settle(req, None, tokens);
+                    t.call(StoreCall::Note { program: "p".into(), write }, NOW, &mut log);
                 }
             }
             let rows = |t: &mut StoreTables| {
@@ -149,7 +210,8 @@
             }
             assert_eq!(mine, rows(&mut filled));
             for e in mine.into_iter().flat_map(|r| r.ledger) {
-                assert_eq!(e.settled.then_some(e.tokens), settled.get(&e.req).copied());
+                let tokens = e.is_settled().then(|| e.tokens());
+                assert_eq!(tokens, settled.get(&e.req).copied());
             }
             Ok(())
         })
