Routing trial: counts outlive the leader, and a proxy that ends in order tells its last

Cause: reports of nodes that follow the leader lay there alone, so that its loss together with theirs took counts away; a proxy's last second was lost even at an end in order. Change: the leader passes its own followers' reports on to another cell, and every cell tells the leader all it keeps, first when it is new and then each 10 s, since messages get lost. A proxy tells its counts once more at its end. Conclusion: counts are missing only when two cells and the node are lost.

--- a/crates/control-cell/src/owner/handle.rs
+++ b/crates/control-cell/src/owner/handle.rs
@@ -7,6 +7,8 @@
 pub enum CellCommand {
     Call(CellCall, oneshot::Sender<CellReply>),
     Tell(CellCall),
+    /// Outcomes from nodes that follow this cell.
+    Outcomes(Vec<NodeReport>),
     Listed {
         area: String,
         epoch: u64,
@@ -69,7 +71,7 @@
     }
 
     pub fn outcomes(&self, reports: Vec<NodeReport>) {
-        let _ = self.queue.try_send(CellCommand::Tell(CellCall::Outcomes { reports }));
+        let _ = self.queue.try_send(CellCommand::Outcomes(reports));
     }
 
     /// The newest configuration, confirmed by a majority.
--- a/crates/control-cell/src/owner/trial.rs
+++ b/crates/control-cell/src/owner/trial.rs
@@ -9,9 +9,9 @@
 /// The leader is told all that a cell keeps this often, and at once when it is new.
 const TELL_ALL: Duration = Duration::from_secs(10);
 
-/// Invariants: `ledger` is of the trial that runs; on a cell that doesn't lead it holds what its own
-/// followers told, on the leader what all cells passed on. All of it lies in memory: what a lost cell
-/// alone knew of nodes that are gone as well is missing from then on, and nothing counts twice.
+/// Invariants: `ledger` is of the trial that runs; the leader's holds what all cells passed on. All of it
+/// lies in memory, at two cells: the one the node follows and the leader, or the leader and another. What
+/// both lost of a node that is gone as well is missing from then on, and nothing counts twice.
 #[derive(Default)]
 pub(super) struct TrialDesk {
     ledger: OutcomeLedger,
@@ -76,26 +76,37 @@
         self.state.trial.as_ref().filter(|t| t.is_running()).map(|t| t.key())
     }
 
-    /// Reports of nodes, or of another cell's nodes.
-    pub fn took_outcomes(&mut self, reports: Vec<NodeReport>) {
+    /// Keeps reports and gives back those that were new.
+    pub fn keep_outcomes(&mut self, mut reports: Vec<NodeReport>) -> Vec<NodeReport> {
         if self.running_trial().is_none() {
-            return;
+            return Vec::new();
         }
-        let mut fresh = Vec::new();
-        for r in reports {
-            if self.trial.ledger.take(r.clone()) {
-                fresh.push(r);
-            }
-        }
-        if fresh.is_empty() {
+        reports.retain(|r| self.trial.ledger.take(r.clone()));
+        self.trial.news |= !reports.is_empty();
+        reports
+    }
+
+    /// Reports of nodes that follow this cell: they go to the leader, or from it to another cell.
+    pub fn took_outcomes(&mut self, reports: Vec<NodeReport>) {
+        let reports = self.keep_outcomes(reports);
+        if reports.is_empty() {
             return;
         }
-        self.trial.news = true;
-        if let Some(l) = self.leader_addr() {
-            self.caller(&l).tell(&CellCall::Outcomes { reports: fresh });
+        let to = match self.agree.leads() {
+            true => self.heard_last(),
+            false => self.leader_addr(),
+        };
+        if let Some(a) = to {
+            self.caller(&a).tell(&CellCall::Outcomes { reports });
         }
     }
 
+    /// The other member that the leader heard last.
+    fn heard_last(&self) -> Option<String> {
+        let others = self.agree.log.members().iter().filter(|m| m.id != self.me.id);
+        others.max_by_key(|m| self.agree.heard_from(m.id)).map(|m| m.addr.clone())
+    }
+
     /// The leader is told all that this cell keeps, first of all one that is new to it.
     pub fn tell_leader_all(&mut self, now: Instant) {
         let (Some(_), Some(id)) = (self.running_trial(), self.agree.leader) else {
--- a/crates/control-cell/src/owner/work.rs
+++ b/crates/control-cell/src/owner/work.rs
@@ -188,7 +188,10 @@
             }
             CellCommand::Tell(CellCall::Table { table }) => self.take_table(table),
             CellCommand::Tell(CellCall::Announce { status }) => self.announced(status),
-            CellCommand::Tell(CellCall::Outcomes { reports }) => self.took_outcomes(reports),
+            CellCommand::Tell(CellCall::Outcomes { reports }) => {
+                self.keep_outcomes(reports);
+            }
+            CellCommand::Outcomes(reports) => self.took_outcomes(reports),
             CellCommand::Tell(_) => {}
             CellCommand::Call(call, reply) => return self.called(call, reply),
             CellCommand::Listed { area, epoch, engines } => self.listed(area, epoch, engines),
@@ -271,7 +274,7 @@
                 self.forward(CellCall::Trial { ask }, reply);
             }
             CellCall::Outcomes { reports } => {
-                self.took_outcomes(reports);
+                self.keep_outcomes(reports);
                 let _ = reply.send(CellReply::Done);
             }
             CellCall::Agree { .. } | CellCall::Table { .. } => {
--- a/crates/inner-protocol/src/cells.rs
+++ b/crates/inner-protocol/src/cells.rs
@@ -107,7 +107,8 @@
     },
     /// What `doctor` asks.
     Tell,
-    /// One way: what nodes counted of a routing trial, on its way to the leader.
+    /// One way: what nodes counted of a routing trial, passed on by the cell that they follow: to the
+    /// leader, or by the leader to another cell.
     Outcomes {
         reports: Vec<NodeReport>,
     },
--- a/crates/request-proxy/src/app/trial.rs
+++ b/crates/request-proxy/src/app/trial.rs
@@ -10,8 +10,10 @@
     key: u64,
     pub arm: Arm,
     bucket: usize,
-    route: Arc<WayEnv>,
-    began: Instant,
+    route: Arc<str>,
+    protected: bool,
+    /// When its first event is late.
+    due: Instant,
 }
 
 impl Seat {
@@ -25,7 +27,7 @@
     /// How a turn that was answered whole counts, by when its first event passed.
     pub fn in_time(&self, first: Option<Instant>) -> Outcome {
         match first {
-            Some(at) if at <= self.began + self.route.aim => Outcome::InTime,
+            Some(at) if at <= self.due => Outcome::InTime,
             _ => Outcome::Late,
         }
     }
@@ -120,8 +122,15 @@
                 r.began(m.arm, bucket);
             }
         }
-        let route = Arc::new(job.way.clone());
-        (mark, Some(Seat { key: m.key, arm: m.arm, bucket, route, began: job.began }))
+        let seat = Seat {
+            key: m.key,
+            arm: m.arm,
+            bucket,
+            route: job.way.name.as_str().into(),
+            protected: live.record.spec.guard.protects(&job.way.name, job.way.priority),
+            due: job.began + job.way.aim,
+        };
+        (mark, Some(seat))
     }
 
     /// A turn has come to its end; `holes` tells that it was given as whole and lacked events.
@@ -129,12 +138,11 @@
         let Some(live) = locked(&self.live).clone() else {
             return;
         };
-        let spec = &live.record.spec;
-        let protected = spec.guard.protects(&s.route.name, s.route.priority);
         if let Some(r) = locked(&self.report).as_mut().filter(|r| r.key == s.key) {
-            r.count(s.arm, s.bucket, &s.route.name, protected, came, spec.late_worth);
+            let late_worth = live.record.spec.late_worth;
+            r.count(s.arm, s.bucket, &s.route, s.protected, came, late_worth);
             if holes {
-                r.hole(s.arm, &s.route.name, protected);
+                r.hole(s.arm, &s.route, s.protected);
             }
         }
     }
@@ -167,6 +175,12 @@
 }
 
 impl App {
+    /// Tells the agent all that was counted, while a trial runs.
+    pub fn tell_outcomes(&self) {
+        let inversions = locked(&self.sched).inversions;
+        self.trial.tell(inversions);
+    }
+
     pub(super) fn trial_news(&self, record: &TrialRecord) {
         let how = match (record.is_running(), record.keeps_arms()) {
             (true, _) => "runs",
@@ -200,8 +214,7 @@
         let mut running = app.trial.running.subscribe();
         while running.wait_for(|r| *r).await.is_ok() {
             tokio::time::sleep(REPORT_EVERY).await;
-            let inversions = locked(&app.sched).inversions;
-            app.trial.tell(inversions);
+            app.tell_outcomes();
         }
     });
 }
--- a/crates/request-proxy/src/life/mod.rs
+++ b/crates/request-proxy/src/life/mod.rs
@@ -20,6 +20,7 @@
     let left = grace.saturating_sub(began.elapsed()).saturating_sub(RESERVE);
     let _ = tokio::time::timeout(left, serving).await;
     app.live_on(LifeEvent::Done);
+    app.tell_outcomes();
     // What was settled or released last still goes out.
     tokio::time::sleep(Duration::from_millis(100)).await;
 }
