Routing trial: error rate with few conversations and uneven arms

Cause: the bound is asymptotic, weakest at the first looks and where one arm is small. Change: the example tries a share of 0.1 and down to 30 conversations an arm; the check refuses fewer.

--- a/crates/routing-trial/examples/error_rate.rs
+++ b/crates/routing-trial/examples/error_rate.rs
@@ -2,7 +2,7 @@
 #[path = "../tests/support/mod.rs"]
 mod support;
 
-use routing_trial::prelude::Verdict;
+use routing_trial::prelude::{TrialSpec, Verdict};
 use support::*;
 
 fn main() {
@@ -22,6 +22,18 @@
             wrong as f64 / 4000.0
         );
     }
+    println!("arms the same, 4000 trials, a look after every 20 conversations");
+    for (share, least, min_effect) in
+        [(0.1, 300, 0.02), (0.5, 100, 0.02), (0.5, 100, 0.1), (0.5, 30, 0.1)]
+    {
+        let spec = TrialSpec { share, least, min_effect, ..spec.clone() };
+        let all = play_many(&spec, 4000, 0.0, 20);
+        let wrong = all.iter().filter(|(v, _)| is_difference(v)).count();
+        println!(
+            "share {share}, least {least}, least difference {min_effect}: {wrong} false alarms ({:.4})",
+            wrong as f64 / 4000.0
+        );
+    }
     println!("arms differ, 1000 trials, a look after every 100 conversations");
     println!("effect, candidate better, control better, no difference, median conversations, nine in ten");
     for effect in [0.01, 0.02, 0.03, 0.05, 0.10, -0.05] {
--- a/crates/routing-trial/src/spec/check.rs
+++ b/crates/routing-trial/src/spec/check.rs
@@ -105,6 +105,9 @@
     &["id", "name", "share", "control", "candidate", "metric", "test", "guardrail"];
 const PARAMS: [&str; 4] = ["farMs", "stayMs", "besideMs", "behindMs"];
 
+/// The bound is an asymptotic one: below this it was never tried out.
+const LEAST_TRIED: i64 = 30;
+
 /// Reads a whole trial file (TOML); every fault found is listed.
 pub fn check_spec(text: &str) -> Result<TrialSpec, Vec<SpecFault>> {
     let top: Table = match toml::from_str(text) {
@@ -164,7 +167,7 @@
     let mut r = Reader::new(test, "test", TEST);
     let alpha = r.number("alpha", 1e-6, 0.5).unwrap_or(0.05);
     let min_effect = r.number("minEffect", 1e-4, 1.0).unwrap_or(0.02);
-    let least = r.whole("leastConversations", 1, 1_000_000_000).unwrap_or(300);
+    let least = r.whole("leastConversations", LEAST_TRIED, 1_000_000_000).unwrap_or(300);
     let horizon = r.whole("horizonConversations", 1, 1_000_000_000).unwrap_or(100_000);
     if horizon < 2 * least {
         r.fault("horizonConversations", "is below twice leastConversations");
--- a/crates/routing-trial/tests/spec.rs
+++ b/crates/routing-trial/tests/spec.rs
@@ -27,7 +27,7 @@
         ("name = \"stay 80\"", "name = \"current\"", "candidate.name"),
         ("lateWorth = 0.3", "lateWorth = \"x\"", "metric.lateWorth"),
         ("alpha = 0.05", "alpha = 0.7", "test.alpha"),
-        ("leastConversations = 300", "leastConversations = 0", "test.leastConversations"),
+        ("leastConversations = 300", "leastConversations = 29", "test.leastConversations"),
         ("horizonConversations = 20000", "horizonConversations = 400", "test.horizonConversations"),
         ("protectedPriority = 0", "", "guardrail.protectedRoutes"),
         ("protectedPriority = 0", "protectedPriority = 0\nbroken = \"some\"", "guardrail.broken"),
