--- a/crates/control-cell/src/prelude.rs
+++ b/crates/control-cell/src/prelude.rs
@@ -7,7 +7,9 @@
     Body, CellCall, CellReply, CellTold, Change, Entry, Member, Msg, Outcome, RetireState,
     Snapshot, TrialAsk, TrialTold,
 };
-pub use inner_protocol::feed::{AreaTable, EngineEntry, FeedItem, FeedMsg, FollowMsg, Numbered};
+pub use inner_protocol::feed::{
+    AreaTable, EngineEntry, FeedItem, FeedMsg, FollowMsg, Numbered, Topics,
+};
 pub use inner_protocol::prelude::*;
 pub use inner_protocol::stores::{StoreEntry, StoreSet, StoreState, StoreStatus};
 pub use operator_config::prelude::{check_config, Fault};
--- a/crates/feed-agent/src/lib.rs
+++ b/crates/feed-agent/src/lib.rs
@@ -14,7 +14,7 @@
         TcpListener::bind(&addr).await.map_err(|e| NodeError::Io { what: addr, source: e })?;
     let (tx, rx) = mpsc::channel(256);
     let (word, words) = watch::channel(None);
-    let follow = FollowEnv { repeat: WORD_REPEAT, ..FollowEnv::of_cells(&env) };
+    let follow = FollowEnv { repeat: WORD_REPEAT, ..FollowEnv::of_cells_whole(&env) };
     tokio::spawn(follow_cells(follow, tx, words));
     let (open, opens) = mpsc::channel(16);
     let (told, reports) = mpsc::channel(16);
--- a/crates/feed-follow/src/view/mod.rs
+++ b/crates/feed-follow/src/view/mod.rs
@@ -1,8 +1,8 @@
 //! The newest of everything the feed told.
 use crate::prelude::*;
 
-/// Invariant: no topic ever goes back: configurations, cells and trials by log index, the store set by its
-/// serial, an area by (epoch, seq).
+/// Invariant: no topic ever goes back: configurations, cells and trials by log index, the store set by
+/// its version, an area by (epoch, seq).
 #[derive(Debug, Clone, Default)]
 pub struct FeedView {
     pub config: Option<(u64, u64, ByteBuf)>,
@@ -28,7 +28,7 @@
                 newer
             }
             FeedItem::Stores(set) => {
-                let newer = set.serial > self.stores.serial;
+                let newer = set.version > self.stores.version;
                 if newer {
                     self.stores = set.clone();
                 }
@@ -42,7 +42,7 @@
                 }
                 newer
             }
-            FeedItem::Cells { index, addrs } => {
+            FeedItem::Cells { index, addrs, .. } => {
                 let newer = *index > self.cells.0 || self.cells.1.is_empty();
                 if newer {
                     self.cells = (*index, addrs.clone());
@@ -67,11 +67,15 @@
         if let Some((index, serial, body)) = &self.config {
             out.push(FeedItem::Config { index: *index, serial: *serial, body: body.clone() });
         }
-        if self.stores.serial > 0 {
+        if self.stores.version > 0 {
             out.push(FeedItem::Stores(self.stores.clone()));
         }
         out.extend(self.areas.values().cloned().map(FeedItem::Area));
-        out.push(FeedItem::Cells { index: self.cells.0, addrs: self.cells.1.clone() });
+        out.push(FeedItem::Cells {
+            index: self.cells.0,
+            addrs: self.cells.1.clone(),
+            zones: Vec::new(),
+        });
         if let Some((index, trial)) = &self.trial {
             out.push(FeedItem::Trial { index: *index, trial: trial.clone() });
         }
--- a/crates/request-proxy/src/app/feed.rs
+++ b/crates/request-proxy/src/app/feed.rs
@@ -10,6 +10,8 @@
         seeds: vec!["127.0.0.1".into()],
         feed_port: app.env.internal_ports.0 + AGENT_PORT,
         fixed: true,
+        zone: app.env.area.clone(),
+        topics: Topics::All,
         silence: Duration::from_secs(3600),
         repeat: Duration::from_secs(3600),
     };
@@ -36,6 +38,7 @@
     tokio::spawn(async move {
         loop {
             tokio::time::sleep(Duration::from_secs(5)).await;
+            app.tell_notes();
             let now = app.now();
             locked(&app.sched).index.sweep(now);
             app.pool.sweep(Instant::now());
--- a/crates/request-proxy/src/app/mod.rs
+++ b/crates/request-proxy/src/app/mod.rs
@@ -39,6 +39,8 @@
 
 impl App {
     pub fn new(env: NodeEnv) -> Arc<Self> {
+        // A tenth of the memory is for chains that come back.
+        let cache_bytes = (env.limits.memory_mb << 20) as usize / 10;
         let tuning = SchedulerTuning { area: env.area.clone(), ..SchedulerTuning::default() };
         Arc::new(App {
             began: Instant::now(),
@@ -48,7 +50,7 @@
             sched: Mutex::new(Scheduler::new(tuning)),
             tickets: Mutex::new(HashMap::new()),
             pool: Pool::new(),
-            bank: TurnBank::new(env.area.clone()),
+            bank: TurnBank::new(env.area.clone(), cache_bytes),
             trial: TrialDesk::new(&env.node_name),
             env,
         })
@@ -102,6 +104,24 @@
         self.hand_out(next);
     }
 
+    /// Tells operators which engines were ejected and which are back.
+    pub fn tell_notes(&self) {
+        let mut sched = locked(&self.sched);
+        for n in sched.evidence.take_notes() {
+            let id = sched.engines.get(n.key).map_or("gone", |e| &e.id);
+            let service = &*n.service;
+            match n.kind {
+                NoteKind::Ejected { why, span } => {
+                    let ms = span.as_millis() as u64;
+                    info!("engine ejected: {}", why, kv: { engine = id, service = service, for_ms = ms });
+                }
+                NoteKind::Returned => {
+                    info!("engine returned", kv: { engine = id, service = service });
+                }
+            }
+        }
+    }
+
     pub fn pump(&self) {
         let next = locked(&self.sched).pump(self.now());
         self.hand_out(next);
--- a/crates/request-proxy/src/flow/turn.rs
+++ b/crates/request-proxy/src/flow/turn.rs
@@ -4,7 +4,7 @@
 use crate::app::locked;
 use crate::prelude::*;
 use crate::relay::StreamEnd;
-use crate::sending::{keep_alive, passed_on, send_once};
+use crate::sending::{keep_alive, passed_on, send_once, Outgoing};
 
 /// A reservation that is given back unless the turn gets under way.
 struct Reserved {
@@ -95,8 +95,9 @@
     let (app, head) = (job.app, job.head);
     let engine = job.live.services.get(&*job.service).and_then(|s| s.engine.as_ref());
     let blocks = chain_blocks(head.model.unwrap_or(""), head.parts.iter().cloned());
-    let last = opened.chain.last().map(|t| t.engine.as_str());
-    let (mark, seat) = app.trial.seat(job, last);
+    let last = opened.chain.last();
+    let program = head.program.unwrap_or("");
+    let (mark, seat) = app.trial.seat(job, last.map(|t| t.engine.as_str()));
     if let Some(s) = &seat {
         let _ = job.seat.set(s.clone());
     }
@@ -108,7 +109,7 @@
             service: job.service.clone(),
             blocks: blocks.clone(),
             session: head.session.map(Into::into),
-            told_holder: last.map(|t| EngineKey::of(read_answered_by(t).0)),
+            told_holder: last.map(|t| EngineKey::of(read_answered_by(&t.engine).0)),
             prompt_tokens: tokens.0,
             most_out: tokens.1,
             memory_limit: engine.map_or(0, |e| e.cache_tokens / 100 * 95),
@@ -117,6 +118,7 @@
             slack: job.slack(),
             budget: job.left(),
             tried: tried.clone(),
+            may_probe: job.way.priority > 0,
             policy: Seat::policy(seat.as_ref()),
         };
         let held = place(job, ask).await?;
@@ -130,7 +132,10 @@
         let alone = locked(&app.sched).engines.get(g.key).is_some_and(|e| e.own <= 2);
         let sent_at = Instant::now();
         let id = head.request_id;
-        let out = send_once(app, &g, job.parts, &whole, id, job.until, job.urgency()).await;
+        let (parts, until, urgency) = (job.parts, job.until, job.urgency());
+        let sent =
+            Outgoing { parts, body: &whole, request_id: id, until, urgency, repeatable: false };
+        let out = send_once(app, &g, sent).await;
         match out {
             SendOutcome::Answer(res, lease) => {
                 let ka = keep_alive(res.headers());
@@ -140,6 +145,9 @@
                 *r.headers_mut() = passed_on(&rh.headers);
                 if rh.status != StatusCode::OK {
                     let read = Limited::new(inner, 1 << 20).collect();
+                    if rh.status.is_server_error() {
+                        locked(&app.sched).failed(&g, FailureKind::ServerError, app.now());
+                    }
                     return match tokio::time::timeout_at(job.until.into(), read).await {
                         Ok(Ok(b)) => {
                             app.pool.give_back(lease, ka);
@@ -159,7 +167,10 @@
                         engine: write_answered_by(&g.id, mark),
                         line_tokens: tokens.0,
                         keep_ms: job.way.retention.as_millis() as u64,
-                        copies: Vec::new(),
+                    },
+                    foreign: match last {
+                        Some(l) if l.program != program => opened.chain.clone(),
+                        _ => Vec::new(),
                     },
                     req,
                     tokens: 0,
@@ -176,6 +187,7 @@
                     retention: job.way.retention,
                     stride: engine.map_or(1, |e| e.stride),
                     sent_at,
+                    gap_aim: job.way.gap_aim,
                     until: job.until,
                     alone,
                     request_id: id.to_string(),
@@ -189,7 +201,7 @@
             SendOutcome::NotRun { reached, elsewhere } => {
                 let now = app.now();
                 let mut sched = locked(&app.sched);
-                sched.not_run(g.key, reached, elsewhere, now);
+                sched.not_run(&g, reached, elsewhere, now);
                 if let Some(s) = head.session {
                     sched.index.dropped(s);
                 }
@@ -198,9 +210,9 @@
                 sends += u32::from(reached && !elsewhere);
                 unreached += u32::from(!reached || elsewhere);
             }
-            SendOutcome::MayHaveRun(why) => {
+            SendOutcome::MayHaveRun(why, kind) => {
                 debug!("{}: {} at engine {}", id, why, g.id);
-                locked(&app.sched).failed(g.key, app.now());
+                locked(&app.sched).failed(&g, kind, app.now());
                 return Err(OwnAnswer::Lost(why));
             }
             SendOutcome::Late => return Err(OwnAnswer::Late),
--- a/crates/request-proxy/src/prelude.rs
+++ b/crates/request-proxy/src/prelude.rs
@@ -4,8 +4,10 @@
 pub use crate::life::{Life, LifeEvent, LifeState};
 pub use crate::relay::{EventFault, EventReader, RelayBody};
 pub use crate::sending::{Lease, Pool, SendOutcome};
-pub use crate::turns::{OpenAsk, OpenFault, OpenLedger, Opened, TurnBank, TurnClose};
-pub use feed_follow::prelude::{follow_cells, FeedItem, FeedView, FollowEnv, News};
+pub use crate::turns::{
+    ChainCache, OpenAsk, OpenFault, OpenLedger, OpenStep, Opened, TurnBank, TurnClose,
+};
+pub use feed_follow::prelude::{follow_cells, FeedItem, FeedView, FollowEnv, News, Topics};
 pub use http::request::Parts as RequestParts;
 pub use http::{HeaderMap, HeaderValue};
 pub use inner_protocol::prelude::*;
@@ -19,8 +21,8 @@
     TrialRecord,
 };
 pub use session_index::prelude::{
-    chain_blocks, Ask, Block, EngineKey, Grant, Part, Placed, Policy, Reason, Scheduler,
-    SchedulerTuning,
+    chain_blocks, Ask, Block, EngineKey, FailureKind, Grant, NoteKind, Part, Placed, Policy,
+    Reason, Scheduler, SchedulerTuning,
 };
 pub use spdlog::{debug, info, warn};
 pub use statig::prelude::{state_machine, InitializedStateMachine, IntoStateMachineExt};
--- a/crates/session-index/src/scheduler/elect.rs
+++ b/crates/session-index/src/scheduler/elect.rs
@@ -1,7 +1,9 @@
 //! Which engine: cost in ms of waiting, the index first.
+use super::prior::SharedPrior;
 use crate::prelude::*;
 
-const AVOID_MS: f64 = 4000.0;
+/// A probe is worth a detour.
+const PROBE_MS: f64 = 1000.0;
 
 impl Scheduler {
     fn tuning_of(&self, ask: &Ask) -> &SchedulerTuning {
@@ -13,17 +15,40 @@
 
     /// The engine that costs the request least, if any may take it now.
     pub(super) fn elect(&self, ask: &Ask, now: Duration) -> Option<Grant> {
+        self.elect_among(ask, now, false).or_else(|| {
+            // Ejected engines are used when there is no other left, not when the others are full.
+            let usable = |e: &EngineRow| !e.draining && !ask.tried.contains(&e.key);
+            let none = !self
+                .engines
+                .of_service(&ask.service)
+                .any(|e| usable(e) && self.evidence.admits(e.key, true, now) != Admission::Closed);
+            if none {
+                self.elect_among(ask, now, true)
+            } else {
+                None
+            }
+        })
+    }
+
+    fn elect_among(&self, ask: &Ask, now: Duration, ejected_too: bool) -> Option<Grant> {
         let hits = match ask.is_turn {
             true => self.index.look_up(&ask.blocks, now),
             false => Vec::new(),
         };
         let holder = ask.session.as_ref().and_then(|s| self.index.holder_of(s)).or(ask.told_holder);
         let held = |k: EngineKey| hits.iter().find(|(x, _)| *x == k).map_or(0, |(_, n)| *n);
-        let mut best: Option<(f64, &EngineRow, u32)> = None;
+        let prior = SharedPrior::of(&self.engines, ask, &hits, now);
+        let mut best: Option<(f64, &EngineRow, u32, u32)> = None;
         for e in self.engines.of_service(&ask.service) {
             if e.draining || ask.tried.contains(&e.key) || !self.has_room(e, ask, now) {
                 continue;
             }
+            // A line that is held elsewhere would be read anew for a probe.
+            let fit = ask.may_probe && (!ask.is_turn || holder.is_none_or(|h| h == e.key));
+            let admission = self.evidence.admits(e.key, fit, now);
+            if admission == Admission::Closed && !ejected_too {
+                continue;
+            }
             // Nothing known of the line here, but its records name this engine: all but the newest
             // input is likely there.
             let mut hit = held(e.key);
@@ -31,18 +56,23 @@
                 let before = ask.blocks.len().checked_sub(2).map_or(0, |i| ask.blocks[i].end);
                 hit = hit.max(before);
             }
-            let cost = self.cost(e, ask, hit, now)
-                - if holder == Some(e.key) && hit > 0 { self.tuning_of(ask).stay_ms } else { 0.0 };
+            let guessed = prior.tokens(e).saturating_sub(hit);
+            let cost = self.cost(e, ask, hit + guessed, now)
+                - if holder == Some(e.key) && hit > 0 { self.tuning_of(ask).stay_ms } else { 0.0 }
+                + match admission {
+                    Admission::Probe => -PROBE_MS,
+                    _ => self.evidence.cost(e.key, ask.is_turn, now),
+                };
             let better = match &best {
                 None => true,
-                Some((c, _, _)) => cost < *c - 1e-9,
+                Some((c, ..)) => cost < *c - 1e-9,
             };
             if better {
-                best = Some((cost, e, hit));
+                best = Some((cost, e, hit, guessed));
             }
         }
-        let (_, e, hit) = best?;
-        let fresh = ask.prompt_tokens.saturating_sub(hit);
+        let (_, e, hit, guessed) = best?;
+        let fresh = ask.prompt_tokens.saturating_sub(hit + guessed);
         let reason = match () {
             _ if !ask.is_turn => Reason::Plain,
             _ if holder == Some(e.key) && hit > 0 => Reason::Hit,
@@ -52,14 +82,20 @@
         };
         Some(Grant {
             key: e.key,
+            serial: 0,
             id: e.id.clone(),
+            service: e.service.clone(),
             addr: e.addr,
             hit,
+            guessed,
             fresh: if ask.is_turn { fresh } else { 0 },
             memory: if ask.is_turn { u64::from(ask.prompt_tokens + ask.most_out) } else { 0 },
             memory_limit: ask.memory_limit,
             reason,
-            expected_ms: e.pace.base_ms + f64::from(fresh) * e.pace.read_ms,
+            expected_ms: match ask.is_turn {
+                true => e.pace.base_ms + f64::from(fresh) * e.pace.read_ms,
+                false => self.evidence.expected_work(&e.service).as_secs_f64() * 1e3,
+            },
         })
     }
 
@@ -79,9 +115,6 @@
         if *e.area != *tuning.area {
             c += tuning.far_ms;
         }
-        if e.avoid > now {
-            c += AVOID_MS;
-        }
         let busy = e.busy(now);
         if ask.is_turn {
             let fresh = f64::from(ask.prompt_tokens.saturating_sub(hit));
