Routing trial: broken-stream limits by route

Cause: one limit for all protected routes is too coarse: compliance lines want none broken, others as many as before. Change: `[guardrail.brokenByRoute]` sets `zero` or `as-control` for a route and protects it; the breach names the route. A test holds the operators' page's example to the check.

--- a/crates/routing-trial/src/spec/check.rs
+++ b/crates/routing-trial/src/spec/check.rs
@@ -105,6 +105,16 @@
     &["id", "name", "share", "control", "candidate", "metric", "test", "guardrail"];
 const PARAMS: [&str; 4] = ["farMs", "stayMs", "besideMs", "behindMs"];
 
+const NO_LIMIT: &str = "is neither 'zero' nor 'as-control'";
+
+fn limit_of(v: &Value) -> Option<BrokenLimit> {
+    match v.as_str()? {
+        "zero" => Some(BrokenLimit::Zero),
+        "as-control" => Some(BrokenLimit::AsControl),
+        _ => None,
+    }
+}
+
 /// The bound is an asymptotic one: below this it was never tried out.
 const LEAST_TRIED: i64 = 30;
 
@@ -177,25 +187,37 @@
     faults.append(&mut r.faults);
 
     const GUARD: &[&str] =
-        &["protectedRoutes", "protectedPriority", "broken", "alpha", "inversions"];
+        &["protectedRoutes", "protectedPriority", "broken", "alpha", "inversions", "brokenByRoute"];
     let mut r = Reader::new(guard, "guardrail", GUARD);
     let routes = r.texts("protectedRoutes", MOST_ROUTES / 2);
     let priority = r.whole("protectedPriority", 0, 255).map(|p| p as u8);
-    if routes.is_empty() && priority.is_none() {
+    let mut limits = BTreeMap::new();
+    for (route, v) in r.part("brokenByRoute").unwrap_or(&none) {
+        match limit_of(v) {
+            Some(l) => {
+                limits.insert(route.clone(), l);
+            }
+            None => r.fault(&format!("brokenByRoute.{route}"), NO_LIMIT),
+        }
+    }
+    if limits.len() > MOST_ROUTES / 2 {
+        r.fault("brokenByRoute", format!("names more than {}", MOST_ROUTES / 2));
+    }
+    if routes.is_empty() && priority.is_none() && limits.is_empty() {
         r.fault("protectedRoutes", "neither routes nor protectedPriority are named");
     }
-    let broken = match guard.get("broken").map(Value::as_str) {
-        None | Some(Some("as-control")) => BrokenLimit::AsControl,
-        Some(Some("zero")) => BrokenLimit::Zero,
-        Some(_) => {
-            r.fault("broken", "is neither 'zero' nor 'as-control'");
+    let broken = match guard.get("broken") {
+        None => BrokenLimit::AsControl,
+        Some(v) => limit_of(v).unwrap_or_else(|| {
+            r.fault("broken", NO_LIMIT);
             BrokenLimit::Zero
-        }
+        }),
     };
     let guard = GuardSpec {
         routes,
         priority,
         broken,
+        limits,
         alpha: r.number("alpha", 1e-9, 0.5).unwrap_or(0.01),
         inversions: r.whole("inversions", 0, 1_000_000).unwrap_or(0),
     };
--- a/crates/routing-trial/src/spec/mod.rs
+++ b/crates/routing-trial/src/spec/mod.rs
@@ -35,6 +35,9 @@
     /// Routes of this priority level and more urgent ones are protected as well.
     pub priority: Option<u8>,
     pub broken: BrokenLimit,
+    /// Limits of single routes, which are protected by that; `broken` holds for the others.
+    #[serde(default)]
+    pub limits: BTreeMap<String, BrokenLimit>,
     /// Error rate of the comparison of broken streams.
     pub alpha: f64,
     /// How many urgent requests may wait behind less urgent ones.
@@ -43,7 +46,13 @@
 
 impl GuardSpec {
     pub fn protects(&self, route: &str, priority: u8) -> bool {
-        self.priority.is_some_and(|p| priority <= p) || self.routes.iter().any(|r| r == route)
+        self.priority.is_some_and(|p| priority <= p)
+            || self.routes.iter().any(|r| r == route)
+            || self.limits.contains_key(route)
+    }
+
+    pub fn broken_limit(&self, route: &str) -> BrokenLimit {
+        self.limits.get(route).copied().unwrap_or(self.broken)
     }
 }
 
--- a/crates/routing-trial/src/verdict/guards.rs
+++ b/crates/routing-trial/src/verdict/guards.rs
@@ -14,17 +14,24 @@
     if t.inversions > spec.guard.inversions {
         return Some(Breach::Inversions { count: t.inversions });
     }
+    for (name, c) in &t.arms[1].routes {
+        if c.protected && c.broken > 0 && spec.guard.broken_limit(name) == BrokenLimit::Zero {
+            let o = t.arms[0].routes.get(name).copied().unwrap_or_default();
+            let counts = [(o.broken, o.answered()), (c.broken, c.answered())];
+            return Some(Breach::Broken { route: Some(name.clone()), counts, evidence: 0.0 });
+        }
+    }
+    let compared = |name: &str, c: &RouteCounts| {
+        c.protected && spec.guard.broken_limit(name) == BrokenLimit::AsControl
+    };
     let counts = [0, 1].map(|i| {
-        let protected = t.arms[i].routes.values().filter(|c| c.protected);
-        protected.fold((0, 0), |(b, n), c| (b + c.broken, n + c.answered()))
+        let routes = t.arms[i].routes.iter().filter(|(name, c)| compared(name, c));
+        routes.fold((0, 0), |(b, n), (_, c)| (b + c.broken, n + c.answered()))
     });
     let [(b0, n0), (b1, n1)] = counts;
     let evidence = excess_evidence(b0, n0, b1, n1);
-    let over = match spec.guard.broken {
-        BrokenLimit::Zero => b1 > 0,
-        BrokenLimit::AsControl => evidence >= 1.0 / spec.guard.alpha,
-    };
-    over.then_some(Breach::Broken { counts, evidence })
+    let over = evidence >= 1.0 / spec.guard.alpha;
+    over.then_some(Breach::Broken { route: None, counts, evidence })
 }
 
 /// Evidence that the candidate breaks more streams than the control: a mixture likelihood ratio over
--- a/crates/routing-trial/src/verdict/mod.rs
+++ b/crates/routing-trial/src/verdict/mod.rs
@@ -15,9 +15,9 @@
 pub enum Breach {
     /// An answer on a protected route was given as whole and lacked events.
     Holes { route: String, count: u64 },
-    /// Streams on protected routes broke off on the candidate: `counts` is broken and answered on the
-    /// control, then on the candidate.
-    Broken { counts: [(u64, u64); 2], evidence: f64 },
+    /// Streams broke off on the candidate: `counts` is broken and answered on the control, then on the
+    /// candidate, of `route`, or of all protected routes compared together.
+    Broken { route: Option<String>, counts: [(u64, u64); 2], evidence: f64 },
     /// Urgent requests waited behind less urgent ones.
     Inversions { count: u64 },
     /// What can't be repeated was sent again after it may have run.
--- a/crates/routing-trial/src/verdict/text.rs
+++ b/crates/routing-trial/src/verdict/text.rs
@@ -74,8 +74,12 @@
         Breach::Holes { route, count } => {
             format!("{count} answers on the protected route '{route}' lacked events")
         }
-        Breach::Broken { counts: [(b0, n0), (b1, n1)], .. } => format!(
-            "protected streams broke off: {b0} of {n0} on the control, {b1} of {n1} on the candidate"
+        Breach::Broken { route, counts: [(b0, n0), (b1, n1)], .. } => format!(
+            "streams on {} broke off: {b0} of {n0} on the control, {b1} of {n1} on the candidate",
+            match route {
+                Some(r) => format!("the protected route '{r}'"),
+                None => "protected routes".into(),
+            }
         ),
         Breach::Inversions { count } => {
             format!("{count} urgent requests waited behind less urgent ones")
--- a/crates/routing-trial/tests/guards.rs
+++ b/crates/routing-trial/tests/guards.rs
@@ -46,6 +46,17 @@
     assert_eq!(judge(&s, &one(Arm::Candidate, false)).0, Verdict::Running);
     s.guard.broken = BrokenLimit::AsControl;
     assert_eq!(judge(&s, &one(Arm::Candidate, true)).0, Verdict::Running, "one may be chance");
+    // Limits of single routes.
+    s.guard.limits.insert("other".into(), BrokenLimit::Zero);
+    assert_eq!(judge(&s, &one(Arm::Candidate, true)).0, Verdict::Running);
+    s.guard.limits.insert("dialogue".into(), BrokenLimit::Zero);
+    let want =
+        Breach::Broken { route: Some("dialogue".into()), counts: [(0, 0), (1, 1)], evidence: 0.0 };
+    assert_eq!(judge(&s, &one(Arm::Candidate, true)).0, Verdict::Guardrail(want));
+    assert!(s.guard.protects("dialogue", 9) && !s.guard.protects("chat", 9));
+    s.guard.broken = BrokenLimit::Zero;
+    s.guard.limits.insert("dialogue".into(), BrokenLimit::AsControl);
+    assert_eq!(judge(&s, &one(Arm::Candidate, true)).0, Verdict::Running, "its own limit holds");
 }
 
 /// Both arms break off alike: over 3000 trials looked at after each break, few may be stopped.
--- a/crates/routing-trial/tests/spec.rs
+++ b/crates/routing-trial/tests/spec.rs
@@ -31,6 +31,11 @@
         ("horizonConversations = 20000", "horizonConversations = 400", "test.horizonConversations"),
         ("protectedPriority = 0", "", "guardrail.protectedRoutes"),
         ("protectedPriority = 0", "protectedPriority = 0\nbroken = \"some\"", "guardrail.broken"),
+        (
+            "protectedPriority = 0",
+            "protectedPriority = 0\n[guardrail.brokenByRoute]\ntalk = \"few\"",
+            "guardrail.brokenByRoute.talk",
+        ),
     ] {
         let text = FILE.replace(from, to);
         assert_ne!(text, FILE, "{from}");
@@ -62,3 +67,15 @@
     assert!(!end(Verdict::Stopped { at_once: true }).keeps_arms());
     assert!(end(Verdict::Stopped { at_once: false }).keeps_arms());
 }
+
+#[test]
+fn the_operators_page_shows_a_sound_file() {
+    let page = include_str!("../../../docs/operators/trial.md");
+    let text: Vec<&str> = page
+        .lines()
+        .skip_while(|l| !l.starts_with("    id = "))
+        .map_while(|l| l.strip_prefix("    "))
+        .collect();
+    let s = check_spec(&text.join("\n")).unwrap();
+    assert_eq!(s.guard.limits.values().collect::<Vec<_>>(), [&BrokenLimit::Zero]);
+}
