--- a/crates/request-proxy/src/life/mod.rs
+++ b/crates/request-proxy/src/life/mod.rs
@@ -21,6 +21,7 @@
     let _ = tokio::time::timeout(left, serving).await;
     app.live_on(LifeEvent::Done);
     app.bank.release_all();
+    app.tell_outcomes();
     // What was settled or released last still goes out.
     tokio::time::sleep(Duration::from_millis(100)).await;
 }
