The platform's list is read closely after a change and seldom in calm

Cause: each zone's list was read each 1.1 s; calls are priced, and their number follows zones and pages, not requests. Change: ListPace (pure): each 1.1 s for 6 s after a list differed, else each 0.45 of the drain time, 1.1 to 2.2 s. From the moment the list shows a leaving engine, a read, one replaced reader and the feed still fit into the drain time.

--- a/crates/control-cell/src/listing/mod.rs
+++ b/crates/control-cell/src/listing/mod.rs
@@ -1,34 +1,41 @@
-//! Reads the platform's list for the areas this cell holds, once a beat for each.
+//! Reads the platform's list for the areas this cell holds.
+mod pace;
+
 use crate::prelude::*;
+use pace::ListPace;
 
 /// The areas to read, each with the epoch that made this cell its holder.
 pub type Held = BTreeMap<String, u64>;
 
-const PERIOD: Duration = Duration::from_millis(1100);
 const WITHIN: Duration = Duration::from_millis(800);
 
 pub async fn read_lists(
     cloud: CloudEnv,
+    drain: Duration,
     mut held: watch::Receiver<Held>,
     out: mpsc::Sender<CellCommand>,
 ) {
     let mut back = Backoff::new(Duration::from_millis(200), Duration::from_secs(2));
+    let mut pace = ListPace::new(drain);
+    let began = Instant::now();
     loop {
         let now: Held = held.borrow_and_update().clone();
-        let mut pause = PERIOD;
+        let mut failed = Duration::ZERO;
         for (area, epoch) in now {
             match list_area(cloud.address, &area, WITHIN).await {
                 Ok(list) => {
                     back.reset();
-                    let engines = list.into_iter().map(entry_of).collect();
+                    let engines: Vec<EngineEntry> = list.into_iter().map(entry_of).collect();
+                    pace.read(&area, &engines, began.elapsed());
                     let cmd = CellCommand::Listed { area, epoch, engines };
                     if out.send(cmd).await.is_err() {
                         return;
                     }
                 }
-                Err(_) => pause = pause.max(back.next_pause()),
+                Err(_) => failed = failed.max(back.next_pause()),
             }
         }
+        let pause = pace.pause(began.elapsed()).max(failed);
         tokio::select! {
             _ = tokio::time::sleep(pause) => {}
             r = held.changed() => if r.is_err() { return },
--- a/crates/control-cell/src/owner/work.rs
+++ b/crates/control-cell/src/owner/work.rs
@@ -102,7 +102,7 @@
         let seed = fastrand::u64(..);
         let (held, watch_held) = watch::channel(Held::new());
         if let Some(cloud) = env.cloud.clone() {
-            tokio::spawn(read_lists(cloud, watch_held, queue.clone()));
+            tokio::spawn(read_lists(cloud, env.bounds.drain, watch_held, queue.clone()));
         }
         let now = Instant::now();
         Ok(Owner {
