A changed configuration travels as a difference

Change: Patch names by place the records (ending in '}') that the new text takes over from the one told before; it is checked by a digest. Whole where the difference is over half.

--- a/crates/control-cell/src/follow/mod.rs
+++ b/crates/control-cell/src/follow/mod.rs
@@ -17,11 +17,11 @@
         Ok(Some(Ok(b))) => decode::<FollowMsg>(&b),
         _ => return,
     };
-    let Some(FollowMsg::Follow { feed, no, topics, .. }) = first else {
+    let Some(FollowMsg::Follow { feed, no, topics, patches, .. }) = first else {
         return;
     };
     // What follows is only told once a majority has confirmed that this cell is not cut off.
-    let Some((mut items, opened)) = cell.follow(feed, no, topics).await else {
+    let Some((mut items, opened)) = cell.follow(feed, no, Wants { topics, patches }).await else {
         return;
     };
     if wire.send(encode(&FeedMsg::Open { feed: opened })).await.is_err() {
--- a/crates/control-cell/src/owner/agree.rs
+++ b/crates/control-cell/src/owner/agree.rs
@@ -222,8 +222,8 @@
                 let body = self.state.config.as_ref().map(|c| Bytes::from(c.body.to_vec()));
                 let _ = tx.send(Some(body));
             }
-            Reader::Follow { feed, no, topics, reply } => {
-                let _ = reply.send(Some(self.open_feed(feed, no, topics)));
+            Reader::Follow { feed, no, wants, reply } => {
+                let _ = reply.send(Some(self.open_feed(feed, no, wants)));
             }
             Reader::Index(tx) => {
                 let _ = tx.send(CellReply::Index(index));
--- a/crates/control-cell/src/owner/feed.rs
+++ b/crates/control-cell/src/owner/feed.rs
@@ -1,4 +1,7 @@
 //! The cell's numbered feed.
+#[cfg(test)]
+mod tests;
+
 use super::handle::FeedReceiver;
 use super::work::Owner;
 use crate::prelude::*;
@@ -13,16 +16,26 @@
     pub id: u64,
     pub no: u64,
     pub recent: VecDeque<Numbered>,
-    pub followers: Vec<(Topics, mpsc::Sender<Bytes>)>,
+    pub followers: Vec<(Wants, mpsc::Sender<Bytes>)>,
+    /// The configuration told last, which the next one is told as a difference to.
+    pub told_config: Option<(u64, ByteBuf)>,
     pub next_beat: Instant,
 }
 
+/// What a follower takes.
+#[derive(Debug, Clone, Copy)]
+pub struct Wants {
+    pub topics: Topics,
+    pub patches: bool,
+}
+
 impl Default for FeedBook {
     fn default() -> Self {
         FeedBook {
             id: fastrand::u64(1..),
             no: 0,
             recent: VecDeque::new(),
+            told_config: None,
             followers: Vec::new(),
             next_beat: Instant::now(),
         }
@@ -48,7 +61,10 @@
             return;
         }
         let frame = encode(&FeedMsg::Items(vec![n.clone()]));
-        self.followers.retain(|(topics, f)| match n.item.is_of(*topics) {
+        let patch = matches!(n.item, FeedItem::ConfigPatch { .. });
+        self.followers.retain(|(wants, f)| match n.item.is_of(wants.topics) {
+            // One that reads no patches is let go, and begins anew from a snapshot.
+            true if patch && !wants.patches => false,
             true => f.try_send(frame.clone()).is_ok(),
             false => !f.is_closed(),
         });
@@ -74,9 +90,19 @@
     }
 
     pub fn publish_config(&mut self) {
-        if let Some(i) = self.config_item() {
-            self.feed.publish(i);
-        }
+        let Some(c) = &self.state.config else {
+            return;
+        };
+        let (index, serial, body) = (c.index, c.serial, c.body.clone());
+        let patch =
+            self.feed.told_config.take().map(|(base, old)| (base, Patch::between(&old, &body)));
+        self.feed.told_config = Some((serial, body.clone()));
+        self.feed.publish(match patch {
+            Some((base, patch)) if patch.size() < body.len() / 2 => {
+                FeedItem::ConfigPatch { index, serial, base, patch }
+            }
+            _ => FeedItem::Config { index, serial, body },
+        });
     }
 
     pub fn publish_stores(&mut self) {
@@ -100,11 +126,11 @@
     }
 
     /// Opens a follower's feed: from its place when it is still here, else from a snapshot.
-    pub fn open_feed(&mut self, feed: u64, no: u64, topics: Topics) -> (FeedReceiver, u64) {
+    pub fn open_feed(&mut self, feed: u64, no: u64, wants: Wants) -> (FeedReceiver, u64) {
         let (tx, rx) = mpsc::channel(256);
         let oldest = self.feed.recent.front().map_or(self.feed.no + 1, |n| n.no);
         let mut items: Vec<Numbered> = Vec::new();
-        if feed == self.feed.id && no + 1 >= oldest && no <= self.feed.no {
+        if wants.patches && feed == self.feed.id && no + 1 >= oldest && no <= self.feed.no {
             items.extend(self.feed.recent.iter().filter(|n| n.no > no).cloned());
         } else {
             let mut list: Vec<FeedItem> = Vec::new();
@@ -117,9 +143,9 @@
             items.extend(list.into_iter().map(|item| Numbered { no: self.feed.no, item }));
         }
         items.push(Numbered { no: self.feed.no, item: FeedItem::Current });
-        items.retain(|n| n.item.is_of(topics));
+        items.retain(|n| n.item.is_of(wants.topics));
         let _ = tx.try_send(encode(&FeedMsg::Items(items)));
-        self.feed.followers.push((topics, tx));
+        self.feed.followers.push((wants, tx));
         (rx, self.feed.id)
     }
 
--- /dev/null
+++ b/crates/control-cell/src/owner/feed/tests.rs
@@ -0,0 +1,66 @@
+use super::{FeedBook, Wants, KEPT_BYTES};
+use crate::prelude::*;
+
+fn config(n: u64, size: usize) -> FeedItem {
+    FeedItem::Config { index: n, serial: n, body: ByteBuf::from(vec![b'x'; size]) }
+}
+
+fn patch(n: u64) -> FeedItem {
+    let p = Patch::between(b"{a}{b}", b"{a}{c}");
+    FeedItem::ConfigPatch { index: n, serial: n, base: n - 1, patch: p }
+}
+
+fn told(rx: &mut mpsc::Receiver<Bytes>) -> Vec<FeedItem> {
+    let mut out = Vec::new();
+    while let Ok(b) = rx.try_recv() {
+        if let Some(FeedMsg::Items(v)) = decode(&b) {
+            out.extend(v.into_iter().map(|n| n.item));
+        }
+    }
+    out
+}
+
+/// A recorded row of items, and what each kind of follower is told of it.
+#[test]
+fn each_follower_is_told_what_it_takes() {
+    let mut book = FeedBook::default();
+    let mut follow = |topics, patches| {
+        let (tx, rx) = mpsc::channel(16);
+        book.followers.push((Wants { topics, patches }, tx));
+        rx
+    };
+    let mut agent = follow(Topics::All, true);
+    let mut old_agent = follow(Topics::All, false);
+    let mut store = follow(Topics::Stores, true);
+    let area = AreaTable { area: "a".into(), epoch: 1, seq: 1, engines: Vec::new() };
+    let stores = FeedItem::Stores(StoreSet { serial: 3, ..StoreSet::default() });
+    let row = [config(1, 9), FeedItem::Area(area), stores.clone(), patch(2), config(3, 9)];
+    for item in &row {
+        book.publish(item.clone());
+    }
+    assert_eq!(told(&mut agent), row);
+    assert_eq!(told(&mut store), [stores]);
+    // It reads no differences: it is let go at the first, to begin anew from a snapshot.
+    assert_eq!(told(&mut old_agent), row[..3]);
+    assert_eq!(book.followers.len(), 2);
+}
+
+/// Any row of configurations: what is kept for those who come back has no gap and bounded bytes.
+#[test]
+fn what_is_kept_is_bounded_and_has_no_gap() {
+    arbtest::arbtest(|u| {
+        let mut book = FeedBook::default();
+        for n in 1..=u.int_in_range(1..=90u64)? {
+            let size = if u.ratio(1, 8)? { 4 << 20 } else { 100 };
+            book.publish(config(n, size));
+            let bytes: usize = book.recent.iter().map(|n| n.item.body_bytes()).sum();
+            assert!(bytes <= KEPT_BYTES || book.recent.len() == 1);
+            assert!(book.recent.len() <= 64);
+            let first = book.no + 1 - book.recent.len() as u64;
+            assert!(book.recent.iter().map(|r| r.no).eq(first..=book.no));
+        }
+        Ok(())
+    })
+    .size_min(256)
+    .budget_ms(300);
+}
--- a/crates/control-cell/src/owner/handle.rs
+++ b/crates/control-cell/src/owner/handle.rs
@@ -16,7 +16,7 @@
     Follow {
         feed: u64,
         no: u64,
-        topics: Topics,
+        wants: Wants,
         reply: oneshot::Sender<Option<(FeedReceiver, u64)>>,
     },
     ReadConfig(oneshot::Sender<Option<Option<Bytes>>>),
@@ -77,9 +77,9 @@
         tokio::time::timeout(WITHIN, rx).await.ok()?.ok()?
     }
 
-    pub async fn follow(&self, feed: u64, no: u64, topics: Topics) -> Option<(FeedReceiver, u64)> {
+    pub async fn follow(&self, feed: u64, no: u64, wants: Wants) -> Option<(FeedReceiver, u64)> {
         let (tx, rx) = oneshot::channel();
-        self.queue.send(CellCommand::Follow { feed, no, topics, reply: tx }).await.ok()?;
+        self.queue.send(CellCommand::Follow { feed, no, wants, reply: tx }).await.ok()?;
         tokio::time::timeout(WITHIN, rx).await.ok()?.ok()?
     }
 
--- a/crates/control-cell/src/owner/mod.rs
+++ b/crates/control-cell/src/owner/mod.rs
@@ -5,4 +5,5 @@
 mod lead;
 mod work;
 
+pub use feed::Wants;
 pub use handle::{start, CellCommand, CellHandle};
--- a/crates/control-cell/src/owner/work.rs
+++ b/crates/control-cell/src/owner/work.rs
@@ -10,7 +10,7 @@
     Follow {
         feed: u64,
         no: u64,
-        topics: Topics,
+        wants: Wants,
         reply: oneshot::Sender<Option<(FeedReceiver, u64)>>,
     },
     /// Another cell asks on behalf of its reader.
@@ -189,8 +189,8 @@
             CellCommand::Tell(_) => {}
             CellCommand::Call(call, reply) => return self.called(call, reply),
             CellCommand::Listed { area, epoch, engines } => self.listed(area, epoch, engines),
-            CellCommand::Follow { feed, no, topics, reply } => {
-                return self.confirm_for(Reader::Follow { feed, no, topics, reply });
+            CellCommand::Follow { feed, no, wants, reply } => {
+                return self.confirm_for(Reader::Follow { feed, no, wants, reply });
             }
             CellCommand::ReadConfig(reply) => return self.confirm_for(Reader::Config(reply)),
             CellCommand::ForwardConfirmed { token, index } => {
--- a/crates/control-cell/src/prelude.rs
+++ b/crates/control-cell/src/prelude.rs
@@ -1,6 +1,6 @@
 //! The one module every file of this package imports.
 pub use crate::duties::{next_holders, next_members, next_stores, StoreSight};
-pub use crate::owner::{CellCommand, CellHandle};
+pub use crate::owner::{CellCommand, CellHandle, Wants};
 pub use crate::state::CellState;
 pub use agreement::prelude::{Agreement, AgreementDisk, Effect, Event, Hard, Tuning};
 pub use inner_protocol::cells::{
@@ -9,6 +9,7 @@
 pub use inner_protocol::feed::{
     AreaTable, EngineEntry, FeedItem, FeedMsg, FollowMsg, Numbered, Topics,
 };
+pub use inner_protocol::patch::Patch;
 pub use inner_protocol::prelude::*;
 pub use inner_protocol::stores::{StoreEntry, StoreSet, StoreState, StoreStatus};
 pub use operator_config::prelude::{check_config, Fault};
--- a/crates/feed-follow/src/lib.rs
+++ b/crates/feed-follow/src/lib.rs
@@ -1,4 +1,5 @@
 //! Following the cells' feed: what is known (a pure view) and the link that brings it.
+pub mod base;
 pub mod link;
 pub mod prelude;
 pub mod rank;
--- a/crates/feed-follow/src/link/mod.rs
+++ b/crates/feed-follow/src/link/mod.rs
@@ -67,6 +67,7 @@
     let mut cells = CellRank::new(&env.name, zone, &env.seeds);
     let began = Instant::now();
     let mut place = (0u64, 0u64);
+    let mut base = PatchBase::default();
     let mut pause = Backoff::new(Duration::from_millis(40), Duration::from_millis(160));
     let mut feed = Feed.uninitialized_state_machine().init();
     while !out.is_closed() {
@@ -78,7 +79,13 @@
         if let Ok(s) = connect(&addr, CONNECT, QUIET).await {
             feed.handle(&FeedEvent::Linked);
             let mut wire = frame_stream(s);
-            let mut at = LinkAt { cell: &cell, began, place: &mut place, cells: &mut cells };
+            let mut at = LinkAt {
+                cell: &cell,
+                began,
+                place: &mut place,
+                base: &mut base,
+                cells: &mut cells,
+            };
             let _ = run_link(&env, &mut wire, &mut at, &mut feed, &out, &mut status).await;
         }
         let followed = matches!(feed.state(), FeedState::Following {});
@@ -99,6 +106,8 @@
     cell: &'a str,
     began: Instant,
     place: &'a mut (u64, u64),
+    /// The configuration this feed told last, as of that place.
+    base: &'a mut PatchBase,
     cells: &'a mut CellRank,
 }
 
@@ -115,6 +124,7 @@
         feed: at.place.0,
         no: at.place.1,
         topics: env.topics,
+        patches: true,
     };
     wire.send(encode(&hello)).await.ok()?;
     let mut last = Instant::now();
@@ -160,9 +170,20 @@
                                 }
                                 _ => {}
                             }
-                            if n.item != FeedItem::Beat {
-                                list.push(n.item);
+                            if n.item == FeedItem::Beat {
+                                continue;
                             }
+                            // An agent tells its proxy whole ones.
+                            let item = match env.fixed {
+                                true => Some(n.item),
+                                false => at.base.whole(n.item),
+                            };
+                            let Some(item) = item else {
+                                // Out of step with the cell: all is asked for anew.
+                                *at.place = (0, 0);
+                                return None;
+                            };
+                            list.push(item);
                         }
                         if !list.is_empty() {
                             out.send(News::Items(list)).await.ok()?;
--- a/crates/feed-follow/src/prelude.rs
+++ b/crates/feed-follow/src/prelude.rs
@@ -1,10 +1,12 @@
 //! The one module every file of this package imports.
+pub use crate::base::PatchBase;
 pub use crate::link::{follow_cells, FollowEnv, News};
 pub use crate::rank::CellRank;
 pub use crate::view::FeedView;
 pub use inner_protocol::feed::{
     AreaTable, EngineEntry, FeedItem, FeedMsg, FollowMsg, Numbered, Topics,
 };
+pub use inner_protocol::patch::Patch;
 pub use inner_protocol::prelude::*;
 pub use inner_protocol::stores::{StoreSet, StoreStatus};
 pub use statig::prelude::{state_machine, InitializedStateMachine, IntoStateMachineExt, Response};
--- a/crates/feed-follow/src/view/mod.rs
+++ b/crates/feed-follow/src/view/mod.rs
@@ -47,6 +47,8 @@
                 }
                 newer
             }
+            // The link makes it whole; alone it says nothing.
+            FeedItem::ConfigPatch { .. } => false,
             FeedItem::Current => !std::mem::replace(&mut self.current, true),
             FeedItem::Beat => false,
         }
--- a/crates/inner-protocol/src/feed.rs
+++ b/crates/inner-protocol/src/feed.rs
@@ -1,4 +1,5 @@
 //! The numbered feed from a cell to agents and stores, and from an agent to its proxy.
+use crate::patch::Patch;
 use crate::prelude::*;
 use crate::stores::{StoreSet, StoreStatus};
 
@@ -32,6 +33,13 @@
         serial: u64,
         body: ByteBuf,
     },
+    /// The same as a difference to the configuration `base` that this feed told last.
+    ConfigPatch {
+        index: u64,
+        serial: u64,
+        base: u64,
+        patch: Patch,
+    },
     Stores(StoreSet),
     Area(AreaTable),
     /// Addresses of the cells, by log index, and in the same order the zone of each ("" where it
@@ -62,13 +70,18 @@
     pub fn body_bytes(&self) -> usize {
         match self {
             FeedItem::Config { body, .. } => body.len(),
+            FeedItem::ConfigPatch { patch, .. } => patch.size(),
             _ => 0,
         }
     }
 
     /// Whether a follower that wants `topics` is told of this item.
     pub fn is_of(&self, topics: Topics) -> bool {
-        topics == Topics::All || !matches!(self, FeedItem::Config { .. } | FeedItem::Area(_))
+        topics == Topics::All
+            || !matches!(
+                self,
+                FeedItem::Config { .. } | FeedItem::ConfigPatch { .. } | FeedItem::Area(_)
+            )
     }
 }
 
@@ -88,6 +101,9 @@
         no: u64,
         #[serde(default)]
         topics: Topics,
+        /// It reads `ConfigPatch`.
+        #[serde(default)]
+        patches: bool,
     },
     Announce {
         status: StoreStatus,
--- a/crates/request-proxy/src/app/feed.rs
+++ b/crates/request-proxy/src/app/feed.rs
@@ -75,7 +75,10 @@
                 drop(sched);
                 self.pump();
             }
-            FeedItem::Cells { .. } | FeedItem::Current | FeedItem::Beat => {}
+            FeedItem::ConfigPatch { .. }
+            | FeedItem::Cells { .. }
+            | FeedItem::Current
+            | FeedItem::Beat => {}
         }
     }
 }
