--- a/crates/control-cell/src/owner/mod.rs
+++ b/crates/control-cell/src/owner/mod.rs
@@ -6,4 +6,5 @@
 mod trial;
 mod work;
 
+pub use feed::Wants;
 pub use handle::{start, CellCommand, CellHandle};
--- a/crates/control-cell/src/owner/work.rs
+++ b/crates/control-cell/src/owner/work.rs
@@ -11,7 +11,7 @@
     Follow {
         feed: u64,
         no: u64,
-        topics: Topics,
+        wants: Wants,
         reply: oneshot::Sender<Option<(FeedReceiver, u64)>>,
     },
     /// Another cell asks on behalf of its reader.
@@ -109,7 +109,7 @@
         let seed = fastrand::u64(..);
         let (held, watch_held) = watch::channel(Held::new());
         if let Some(cloud) = env.cloud.clone() {
-            tokio::spawn(read_lists(cloud, watch_held, queue.clone()));
+            tokio::spawn(read_lists(cloud, env.bounds.drain, watch_held, queue.clone()));
         }
         let now = Instant::now();
         Ok(Owner {
@@ -201,8 +201,8 @@
             CellCommand::Tell(_) => {}
             CellCommand::Call(call, reply) => return self.called(call, reply),
             CellCommand::Listed { area, epoch, engines } => self.listed(area, epoch, engines),
-            CellCommand::Follow { feed, no, topics, reply } => {
-                return self.confirm_for(Reader::Follow { feed, no, topics, reply });
+            CellCommand::Follow { feed, no, wants, reply } => {
+                return self.confirm_for(Reader::Follow { feed, no, wants, reply });
             }
             CellCommand::ReadConfig(reply) => return self.confirm_for(Reader::Config(reply)),
             CellCommand::ForwardConfirmed { token, index } => {
--- a/crates/feed-follow/src/link/mod.rs
+++ b/crates/feed-follow/src/link/mod.rs
@@ -70,6 +70,7 @@
     let mut cells = CellRank::new(&env.name, zone, &env.seeds);
     let began = Instant::now();
     let mut place = (0u64, 0u64);
+    let mut base = PatchBase::default();
     let mut pause = Backoff::new(Duration::from_millis(40), Duration::from_millis(160));
     let mut feed = Feed.uninitialized_state_machine().init();
     while !out.is_closed() {
@@ -81,7 +82,13 @@
         if let Ok(s) = connect(&addr, CONNECT, QUIET).await {
             feed.handle(&FeedEvent::Linked);
             let mut wire = frame_stream(s);
-            let mut at = LinkAt { cell: &cell, began, place: &mut place, cells: &mut cells };
+            let mut at = LinkAt {
+                cell: &cell,
+                began,
+                place: &mut place,
+                base: &mut base,
+                cells: &mut cells,
+            };
             let _ = run_link(&env, &mut wire, &mut at, &mut feed, &out, &mut status).await;
         }
         let followed = matches!(feed.state(), FeedState::Following {});
@@ -102,6 +109,8 @@
     cell: &'a str,
     began: Instant,
     place: &'a mut (u64, u64),
+    /// The configuration this feed told last, as of that place.
+    base: &'a mut PatchBase,
     cells: &'a mut CellRank,
 }
 
@@ -118,6 +127,7 @@
         feed: at.place.0,
         no: at.place.1,
         topics: env.topics,
+        patches: true,
     };
     wire.send(encode(&hello)).await.ok()?;
     let mut last = Instant::now();
@@ -164,9 +174,20 @@
                                 }
                                 _ => {}
                             }
-                            if n.item != FeedItem::Beat {
-                                list.push(n.item);
+                            if n.item == FeedItem::Beat {
+                                continue;
                             }
+                            // An agent tells its proxy whole ones.
+                            let item = match env.fixed {
+                                true => Some(n.item),
+                                false => at.base.whole(n.item),
+                            };
+                            let Some(item) = item else {
+                                // Out of step with the cell: all is asked for anew.
+                                *at.place = (0, 0);
+                                return None;
+                            };
+                            list.push(item);
                         }
                         if !list.is_empty() {
                             out.send(News::Items(list)).await.ok()?;
--- a/crates/request-proxy/src/app/feed.rs
+++ b/crates/request-proxy/src/app/feed.rs
@@ -84,7 +84,10 @@
                 self.pump();
             }
             FeedItem::Trial { trial, .. } => self.trial_news(trial),
-            FeedItem::Cells { .. } | FeedItem::Current | FeedItem::Beat => {}
+            FeedItem::ConfigPatch { .. }
+            | FeedItem::Cells { .. }
+            | FeedItem::Current
+            | FeedItem::Beat => {}
         }
     }
 }
--- a/crates/request-proxy/src/flow/turn.rs
+++ b/crates/request-proxy/src/flow/turn.rs
@@ -28,6 +28,14 @@
     tokens: (u32, u32),
     blocks: Vec<Block>,
     program: &'a str,
+    /// Its place in a routing trial, asked for once, when its line is known.
+    seat: std::sync::OnceLock<(Option<Mark>, Option<Seat>)>,
+}
+
+impl Turn<'_> {
+    fn seat(&self, job: &Job<'_>, last: Option<&Arc<TurnRecord>>) -> &(Option<Mark>, Option<Seat>) {
+        self.seat.get_or_init(|| job.app.trial.seat(job, last.map(|t| t.engine.as_str())))
+    }
 }
 
 /// How long an engine chosen before the claim stays chosen.
@@ -37,7 +45,13 @@
     let (app, head) = (job.app, job.head);
     let tokens = head.tokens.unwrap_or((input.len() as u32, 0));
     let blocks = chain_blocks(head.model.unwrap_or(""), head.parts.iter().cloned());
-    let turn = Turn { input, tokens, blocks, program: head.program.unwrap_or("") };
+    let turn = Turn {
+        input,
+        tokens,
+        blocks,
+        program: head.program.unwrap_or(""),
+        seat: Default::default(),
+    };
     let mut opened = Opened::default();
     let mut early = None;
     if head.program.is_some() || head.previous.is_some() {
@@ -114,7 +128,7 @@
     tried: &[EngineKey],
 ) -> Ask {
     let engine = job.live.services.get(&*job.service).and_then(|s| s.engine.as_ref());
-    let (_, seat) = job.app.trial.seat(job, last.map(|t| t.engine.as_str()));
+    let (_, seat) = turn.seat(job, last);
     Ask {
         service: job.service.clone(),
         blocks: turn.blocks.clone(),
@@ -143,7 +157,7 @@
 ) -> Result<Response<ProxyBody>, OwnAnswer> {
     let (app, head) = (job.app, job.head);
     let last = opened.chain.last();
-    let (mark, seat) = app.trial.seat(job, last.map(|t| t.engine.as_str()));
+    let (mark, seat) = turn.seat(job, last).clone();
     if let Some(s) = &seat {
         let _ = job.seat.set(s.clone());
     }
