Evidence: weigh an engine with one look when nothing is against it

Change: `weigh` gives admission and cost together; a row without failures or slowness computes nothing. Returning engines are judged by their probes alone.

--- a/crates/session-index/src/evidence/decay.rs
+++ b/crates/session-index/src/evidence/decay.rs
@@ -20,6 +20,11 @@
         self.value * (-age / self.half.max(1e-3)).exp2()
     }
 
+    /// A bound that needs no computing: it was never more since it was last added to.
+    pub fn at_most(&self) -> f64 {
+        self.value
+    }
+
     pub fn add(&mut self, x: f64, now: Duration) {
         self.value = self.at(now) + x;
         self.since = self.since.max(now);
--- a/crates/session-index/src/evidence/history.rs
+++ b/crates/session-index/src/evidence/history.rs
@@ -21,6 +21,10 @@
         }
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
     pub fn crashes(&self, addr: SocketAddr, now: Duration) -> f64 {
         self.ends.get(&addr).map_or(0.0, |c| c.at(now))
     }
--- a/crates/session-index/src/evidence/mod.rs
+++ b/crates/session-index/src/evidence/mod.rs
@@ -149,35 +149,50 @@
         }
     }
 
-    pub fn admits(&self, key: EngineKey, fit: bool, now: Duration) -> Admission {
-        self.rows.get(&key).map_or(Admission::Open, |r| r.admits(fit, now))
-    }
-
-    /// What is to be feared of an engine beyond its peers, in ms of waiting.
-    pub fn cost(&self, key: EngineKey, is_turn: bool, now: Duration) -> f64 {
-        let Some(r) = self.rows.get(&key) else { return 0.0 };
-        let Some(p) = self.pools.get(&r.service) else { return 0.0 };
+    /// Whether a request may go there, and what is to be feared beyond the engine's peers, in ms of
+    /// waiting. Asked for each engine of a service at each election, so a calm row costs one look.
+    pub fn weigh(
+        &self,
+        key: EngineKey,
+        fit: bool,
+        is_turn: bool,
+        now: Duration,
+    ) -> (Admission, f64) {
+        let Some(r) = self.rows.get(&key) else { return (Admission::Open, 0.0) };
+        let admission = r.admits(fit, now);
+        if admission != Admission::Open {
+            return (admission, 0.0);
+        }
         let mut c = 0.0;
         if r.avoid > now {
             c += AVOID_MS;
         }
+        c += r.overdue(now) as f64 * OVERDUE_MS;
         if let Some(steps) = r.steps_left() {
             // Its probes answer for it, one step at a time.
-            return c + f64::from(steps) * RETURNING_MS;
+            return (admission, c + f64::from(steps) * RETURNING_MS);
         }
+        if !self.history.is_empty() && r.tries.at(now) < 1.0 {
+            c += self.history.crashes(r.addr, now) * CAUTION_MS;
+        }
+        if !r.is_calm() {
+            if let Some(p) = self.pools.get(&r.service) {
+                c += Self::fear(r, p, is_turn, now);
+            }
+        }
+        (admission, c)
+    }
+
+    fn fear(r: &EngineEvidence, p: &PoolEvidence, is_turn: bool, now: Duration) -> f64 {
         let common = p.failure_rate_beside(r, now);
         let (n, f) = (r.tries.at(now), r.failed.at(now));
-        c += ((f + PRIOR * common) / (n + PRIOR) - 1.5 * common).max(0.0) * FAIL_MS;
+        let failing = ((f + PRIOR * common) / (n + PRIOR) - 1.5 * common).max(0.0) * FAIL_MS;
         let slower = r.slower_than(p, now);
-        if slower > SLOW_FREE {
-            let work = if is_turn { 250.0 } else { p.work_ms() };
-            c += (slower - SLOW_FREE).min(8.0) * work;
-        }
-        c += r.open.iter().filter(|s| !s.answered && s.is_overdue(now)).count() as f64 * OVERDUE_MS;
-        if n < 1.0 {
-            c += self.history.crashes(r.addr, now) * CAUTION_MS;
+        if slower <= SLOW_FREE {
+            return failing;
         }
-        c
+        let work = if is_turn { 250.0 } else { p.work_ms() };
+        failing + (slower - SLOW_FREE).min(8.0) * work
     }
 
     /// What a plain call on this service is expected to take.
--- a/crates/session-index/src/evidence/row.rs
+++ b/crates/session-index/src/evidence/row.rs
@@ -139,6 +139,16 @@
         p.slow_seen.add(weight, now);
     }
 
+    /// Neither failures nor slowness that could cost anything.
+    pub fn is_calm(&self) -> bool {
+        // Both decay alike, so their ratio stands still. The pool's mean is near 0.
+        self.failed.at_most() < 0.02 && self.slow.at_most() < 0.1 * self.slow_seen.at_most()
+    }
+
+    pub fn overdue(&self, now: Duration) -> usize {
+        self.open.iter().filter(|s| !s.answered && s.is_overdue(now)).count()
+    }
+
     /// How often it has been slower than its peers, as a factor; few measurements count for little.
     pub fn slower_than(&self, p: &PoolEvidence, now: Duration) -> f64 {
         let n = self.slow_seen.at(now);
--- a/crates/session-index/src/evidence/tests.rs
+++ b/crates/session-index/src/evidence/tests.rs
@@ -46,7 +46,7 @@
     for (now, begins, serial, e, r) in steps {
         last = now;
         if begins {
-            if t.admits(key(e), true, now) != Admission::Closed {
+            if admits(t, key(e), true, now) != Admission::Closed {
                 t.begin(key(e), serial, ms(500), now);
                 under_way.insert(serial);
             }
@@ -73,6 +73,14 @@
     last
 }
 
+fn admits(t: &EvidenceTable, key: EngineKey, fit: bool, now: Duration) -> Admission {
+    t.weigh(key, fit, true, now).0
+}
+
+fn cost(t: &EvidenceTable, key: EngineKey, is_turn: bool, now: Duration) -> f64 {
+    t.weigh(key, true, is_turn, now).1
+}
+
 fn out(t: &EvidenceTable, n: u64) -> bool {
     t.standing(key(n)) != Some(&StandingState::Healthy {})
 }
@@ -101,10 +109,10 @@
     let mut now = at;
     for stage in 0..3u64 {
         for i in 0..1 << stage {
-            assert_ne!(t.admits(key(0), true, now), Admission::Closed, "{stage} {i}");
+            assert_ne!(admits(&t, key(0), true, now), Admission::Closed, "{stage} {i}");
             t.begin(key(0), 1 + stage * 10 + i, ms(500), now);
         }
-        assert_eq!(t.admits(key(0), true, now), Admission::Closed);
+        assert_eq!(admits(&t, key(0), true, now), Admission::Closed);
         now += ms(100);
         let o = Observation::Worked { took: ms(100), route: 1 };
         t.observe(key(0), 1 + stage * 10, o, now);
@@ -130,7 +138,12 @@
     play(&mut spared, &GREY.replace("reset", "answer"), ms(0));
     assert!(out(&met, 0) && (1..6).all(|n| !out(&met, n)));
     assert!((0..6).all(|n| !out(&spared, n)));
-    assert!(met.cost(key(0), true, ms(2000)) > met.cost(key(1), true, ms(2000)));
+    assert_eq!(admits(&met, key(0), true, ms(6000)), Admission::Closed);
+    // Before it is out, it is already feared.
+    let mut met = table(6);
+    let at = play(&mut met, &GREY.replace("6000", "700"), ms(0));
+    assert!(!out(&met, 0));
+    assert!(cost(&met, key(0), true, at) > cost(&met, key(1), true, at) + 200.0);
 }
 
 /// One failure at an engine that is seldom met is enough to prefer its peers for a while, and no more.
@@ -142,8 +155,8 @@
         r#"[{"from": 0, "to": 50, "every": 50, "engines": [0], "met": "reset", "ms": 10}]"#,
         ms(0),
     );
-    let cost = |t: &EvidenceTable, at| t.cost(key(0), true, ms(at)) - t.cost(key(1), true, ms(at));
-    assert!(cost(&t, 100) > 300.0 && cost(&t, 6000) > 100.0 && cost(&t, 60_000) < 5.0);
+    let beyond = |at| cost(&t, key(0), true, ms(at)) - cost(&t, key(1), true, ms(at));
+    assert!(beyond(100) > 300.0 && beyond(6000) > 100.0 && beyond(60_000) < 5.0);
     assert!(!out(&t, 0));
 }
 
@@ -205,7 +218,7 @@
     );
     assert!((0..9).filter(|n| out(&t, *n)).count() <= 3);
     let worst =
-        (0..9).filter(|n| !out(&t, *n)).map(|n| t.cost(key(n), true, ms(4200)) as u64).max();
+        (0..9).filter(|n| !out(&t, *n)).map(|n| cost(&t, key(n), true, ms(4200)) as u64).max();
     assert!(worst < Some(100), "{worst:?}");
     // Two engines, both failing: both stay in use.
     let mut t = table(2);
@@ -222,12 +235,12 @@
     let mut t = table(6);
     t.begin(key(0), 1, ms(500), ms(0));
     t.begin(key(1), 2, ms(500), ms(0));
-    assert_eq!(t.cost(key(0), true, ms(400)), t.cost(key(2), true, ms(400)));
+    assert_eq!(cost(&t, key(0), true, ms(400)), cost(&t, key(2), true, ms(400)));
     t.finish(key(1), 2, ms(400));
-    assert!(t.cost(key(0), true, ms(600)) > 500.0);
+    assert!(cost(&t, key(0), true, ms(600)) > 500.0);
     t.finish(key(0), 1, ms(900));
-    assert!(t.cost(key(0), true, ms(900)) > 300.0);
-    assert_eq!(t.cost(key(1), true, ms(900)), t.cost(key(2), true, ms(900)));
+    assert!(cost(&t, key(0), true, ms(900)) > 300.0);
+    assert_eq!(cost(&t, key(1), true, ms(900)), cost(&t, key(2), true, ms(900)));
 }
 
 /// Connections are forgotten after some 900 ms of being idle.
@@ -243,7 +256,7 @@
     }
     assert_eq!(t.idle_limit(SERVICE, true, ms(2000)), ms(1000));
     assert_eq!(t.idle_limit(SERVICE, false, ms(2000)), ms(1000));
-    assert!((0..3).all(|n| !out(&t, n) && t.cost(key(n), true, ms(2000)) == 0.0));
+    assert!((0..3).all(|n| !out(&t, n) && cost(&t, key(n), true, ms(2000)) == 0.0));
     assert_eq!(t.idle_limit("other", false, ms(2000)), first);
     assert_eq!(t.idle_limit(SERVICE, false, ms(120_000)), first);
     // A few resets: what may be sent again still uses them, what may not doesn't.
@@ -303,7 +316,7 @@
             assert!(restricted <= live.len() / 3);
             assert!(live
                 .iter()
-                .all(|n| t.cost(key(*n), u.arbitrary().unwrap_or(true), now).is_finite()));
+                .all(|n| cost(&t, key(*n), u.arbitrary().unwrap_or(true), now).is_finite()));
         }
         Ok(())
     });
--- a/crates/session-index/src/scheduler/elect.rs
+++ b/crates/session-index/src/scheduler/elect.rs
@@ -16,10 +16,9 @@
         self.elect_among(ask, now, false).or_else(|| {
             // Ejected engines are used when there is no other left, not when the others are full.
             let usable = |e: &EngineRow| !e.draining && !ask.tried.contains(&e.key);
-            let none = !self
-                .engines
-                .of_service(&ask.service)
-                .any(|e| usable(e) && self.evidence.admits(e.key, true, now) != Admission::Closed);
+            let none = !self.engines.of_service(&ask.service).any(|e| {
+                usable(e) && self.evidence.weigh(e.key, true, false, now).0 != Admission::Closed
+            });
             if none {
                 self.elect_among(ask, now, true)
             } else {
@@ -42,7 +41,7 @@
             }
             // A line that is held elsewhere would be read anew for a probe.
             let fit = ask.may_probe && (!ask.is_turn || holder.is_none_or(|h| h == e.key));
-            let admission = self.evidence.admits(e.key, fit, now);
+            let (admission, fear) = self.evidence.weigh(e.key, fit, ask.is_turn, now);
             if admission == Admission::Closed && !ejected_too {
                 continue;
             }
@@ -55,10 +54,7 @@
             }
             let cost = self.cost(e, ask, hit, now)
                 - if holder == Some(e.key) && hit > 0 { STAY_MS } else { 0.0 }
-                + match admission {
-                    Admission::Probe => -PROBE_MS,
-                    _ => self.evidence.cost(e.key, ask.is_turn, now),
-                };
+                + if admission == Admission::Probe { -PROBE_MS } else { fear };
             let better = match &best {
                 None => true,
                 Some((c, _, _)) => cost < *c - 1e-9,
