--- a/crates/session-index/src/scheduler/elect.rs
+++ b/crates/session-index/src/scheduler/elect.rs
@@ -18,10 +18,9 @@
         self.elect_among(ask, now, false).or_else(|| {
             // Ejected engines are used when there is no other left, not when the others are full.
             let usable = |e: &EngineRow| !e.draining && !ask.tried.contains(&e.key);
-            let none = !self
-                .engines
-                .of_service(&ask.service)
-                .any(|e| usable(e) && self.evidence.admits(e.key, true, now) != Admission::Closed);
+            let none = !self.engines.of_service(&ask.service).any(|e| {
+                usable(e) && self.evidence.weigh(e.key, true, false, now).0 != Admission::Closed
+            });
             if none {
                 self.elect_among(ask, now, true)
             } else {
@@ -45,7 +44,7 @@
             }
             // A line that is held elsewhere would be read anew for a probe.
             let fit = ask.may_probe && (!ask.is_turn || holder.is_none_or(|h| h == e.key));
-            let admission = self.evidence.admits(e.key, fit, now);
+            let (admission, fear) = self.evidence.weigh(e.key, fit, ask.is_turn, now);
             if admission == Admission::Closed && !ejected_too {
                 continue;
             }
@@ -59,10 +58,7 @@
             let guessed = prior.tokens(e).saturating_sub(hit);
             let cost = self.cost(e, ask, hit + guessed, now)
                 - if holder == Some(e.key) && hit > 0 { self.tuning_of(ask).stay_ms } else { 0.0 }
-                + match admission {
-                    Admission::Probe => -PROBE_MS,
-                    _ => self.evidence.cost(e.key, ask.is_turn, now),
-                };
+                + if admission == Admission::Probe { -PROBE_MS } else { fear };
             let better = match &best {
                 None => true,
                 Some((c, ..)) => cost < *c - 1e-9,
