Evidence: steadier means, more patience with turns, and Keep-Alive believed again

Change: means start with a prior and count each early value alike; a turn is silent after four times what was expected and 1 s; a further class of idle times leaves the end to Keep-Alive; slowness below 1.5 times the pool's is free. A test shows elections leaving ejected engines to probes and to need.

--- a/crates/session-index/src/evidence/idle.rs
+++ b/crates/session-index/src/evidence/idle.rs
@@ -1,13 +1,14 @@
 //! How long a service's engines keep idle connections, learned from those found reset.
 use crate::prelude::*;
 
-/// Idle times by class: each ends here, the last one at the longest time a connection is kept.
-const ENDS: [Duration; 5] = [
+/// Idle times by class: each ends here. The last one leaves it to what `Keep-Alive` tells.
+const ENDS: [Duration; 6] = [
     Duration::from_millis(200),
     Duration::from_millis(500),
     Duration::from_secs(1),
     Duration::from_secs(2),
     Duration::from_secs(4),
+    Duration::from_secs(60),
 ];
 const HALF: Duration = Duration::from_secs(10);
 /// So many sends that went well are imagined for each class.
@@ -21,13 +22,13 @@
 /// the first class: a reset there is the engine's doing, and the measure for the others.
 #[derive(Debug, Clone)]
 pub struct IdleLife {
-    used: [DecayingCount; 5],
-    reset: [DecayingCount; 5],
+    used: [DecayingCount; 6],
+    reset: [DecayingCount; 6],
 }
 
 impl Default for IdleLife {
     fn default() -> Self {
-        let none = [DecayingCount::new(HALF); 5];
+        let none = [DecayingCount::new(HALF); 6];
         IdleLife { used: none, reset: none }
     }
 }
--- a/crates/session-index/src/evidence/mod.rs
+++ b/crates/session-index/src/evidence/mod.rs
@@ -58,7 +58,7 @@
 /// What a failure weighs on engines nothing is known of: so many sends at the pool's own rate.
 const PRIOR: f64 = 2.0;
 /// Slower than its peers by less is noise.
-const SLOW_FREE: f64 = 1.3;
+const SLOW_FREE: f64 = 1.5;
 
 impl EvidenceTable {
     /// An engine has come onto the list: a clean slate, but caution at an address whose lives end again
--- a/crates/session-index/src/evidence/pool.rs
+++ b/crates/session-index/src/evidence/pool.rs
@@ -13,10 +13,10 @@
     pub idle: IdleLife,
     pub budget: RetryBudget,
     pace: Pace,
-    /// Mean logarithms of the ms between events, and of a route's work.
-    gap: Option<f64>,
-    routes: HashMap<u64, f64>,
-    work_ms: Option<f64>,
+    /// Logarithms of the ms between events, and of each route's work; the ms of any work.
+    gap: Mean,
+    routes: HashMap<u64, Mean>,
+    work_ms: Mean,
 }
 
 impl Default for PoolEvidence {
@@ -32,9 +32,10 @@
             idle: IdleLife::default(),
             budget: RetryBudget::default(),
             pace: Pace::default(),
-            gap: None,
+            gap: Mean::default(),
             routes: HashMap::new(),
-            work_ms: None,
+            // As if five calls had taken so long: the first one to come isn't the measure of all.
+            work_ms: Mean { mean: 100.0, seen: 5 },
         }
     }
 }
@@ -45,8 +46,25 @@
 const USUAL: f64 = 0.01;
 const USUAL_WEIGHT: f64 = 10.0;
 
-fn lean(old: &mut f64, x: f64) {
-    *old += (x - *old) * LEAN;
+/// A mean of what was seen, and of the latest few dozen once there were as many.
+#[derive(Debug, Clone, Copy, Default)]
+struct Mean {
+    mean: f64,
+    seen: u32,
+}
+
+impl Mean {
+    fn add(&mut self, x: f64) {
+        self.seen = self.seen.saturating_add(1);
+        self.mean += (x - self.mean) * (1.0 / f64::from(self.seen)).max(LEAN);
+    }
+
+    /// How far `x`, a logarithm, is from what was seen before, as a factor; then takes it in.
+    fn ratio(&mut self, x: f64) -> f64 {
+        let beyond = if self.seen == 0 { 0.0 } else { x - self.mean };
+        self.add(x);
+        beyond.exp()
+    }
 }
 
 impl PoolEvidence {
@@ -75,26 +93,19 @@
     }
 
     pub fn gap_ratio(&mut self, gap: Duration) -> f64 {
-        let x = (gap.as_secs_f64() * 1e3).max(0.5).ln();
-        let mean = self.gap.get_or_insert(x);
-        let ratio = (x - *mean).exp();
-        lean(mean, x);
-        ratio
+        self.gap.ratio((gap.as_secs_f64() * 1e3).max(0.5).ln())
     }
 
     pub fn work_ratio(&mut self, route: u64, took: Duration) -> f64 {
         let ms = (took.as_secs_f64() * 1e3).max(0.5);
-        lean(self.work_ms.get_or_insert(ms), ms);
+        self.work_ms.add(ms);
         if self.routes.len() >= MOST_ROUTES && !self.routes.contains_key(&route) {
             self.routes.clear();
         }
-        let mean = self.routes.entry(route).or_insert(ms.ln());
-        let ratio = (ms.ln() - *mean).exp();
-        lean(mean, ms.ln());
-        ratio
+        self.routes.entry(route).or_default().ratio(ms.ln())
     }
 
     pub fn work_ms(&self) -> f64 {
-        self.work_ms.unwrap_or(100.0).clamp(1.0, 20_000.0)
+        self.work_ms.mean.clamp(1.0, 20_000.0)
     }
 }
--- a/crates/session-index/src/evidence/tests.rs
+++ b/crates/session-index/src/evidence/tests.rs
@@ -342,3 +342,57 @@
         Ok(())
     });
 }
+
+/// An ejected engine is used only when there is no other, and probed first by what may be repeated.
+#[test]
+fn elections_leave_ejected_engines_to_probes_and_to_need() {
+    let mut s = Scheduler::new(SchedulerTuning { area: "a".into(), ..SchedulerTuning::default() });
+    let engine = |n: u32| EngineEntry {
+        id: n.to_string(),
+        service: SERVICE.into(),
+        addr: format!("10.0.0.{n}:80"),
+        area: "a".into(),
+        slots: 4,
+        draining: false,
+        cold_ms: 0,
+    };
+    let engines = (1..4).map(engine).collect();
+    s.learn(&AreaTable { area: "a".into(), epoch: 1, seq: 1, engines });
+    let ask = |may_probe: bool, tried: &[&str]| Ask {
+        service: SERVICE.into(),
+        blocks: Vec::new(),
+        session: None,
+        told_holder: None,
+        prompt_tokens: 0,
+        most_out: 0,
+        memory_limit: 0,
+        is_turn: false,
+        priority: 1,
+        slack: ms(100),
+        budget: ms(1000),
+        tried: tried.iter().map(|id| EngineKey::of(id)).collect(),
+        may_probe,
+    };
+    let place = |s: &mut Scheduler, a: Ask, at: u64| match s.place(a, ms(at)) {
+        Placed::Go(g) => g,
+        p => panic!("{p:?}"),
+    };
+    for at in 0..3 {
+        let g = place(&mut s, ask(false, &["2", "3"]), at);
+        s.failed(&g, FailureKind::ServerError, ms(at));
+        s.end(&g, false, ms(at));
+    }
+    for at in 10..60 {
+        let g = place(&mut s, ask(true, &[]), at);
+        assert_ne!(&*g.id, "1");
+        s.end(&g, false, ms(at));
+    }
+    let g = place(&mut s, ask(false, &["2", "3"]), 70);
+    assert_eq!(&*g.id, "1");
+    s.end(&g, false, ms(71));
+    // Its time is over: not by what may run once only, but at once by what may be repeated.
+    let g = place(&mut s, ask(false, &[]), 3100);
+    assert_ne!(&*g.id, "1");
+    let g = place(&mut s, ask(true, &[]), 3100);
+    assert_eq!(&*g.id, "1");
+}
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -92,7 +92,8 @@
 /// A full engine turned a request away; one wasn't reached.
 const FULL: Duration = Duration::from_millis(120);
 const UNREACHED: Duration = Duration::from_millis(600);
-const LEAST_PATIENCE: Duration = Duration::from_millis(500);
+const TURN_PATIENCE: Duration = Duration::from_millis(1000);
+const CALL_PATIENCE: Duration = Duration::from_millis(500);
 const REPORT_EVERY: Duration = Duration::from_secs(10);
 
 /// Invariants: every grant is ended exactly once; tickets in the waitlist are unknown elsewhere.
@@ -148,9 +149,10 @@
     fn begin(&mut self, ask: &Ask, mut g: Grant, now: Duration) -> Grant {
         self.next_serial += 1;
         g.serial = self.next_serial;
-        // Plain work varies more by itself than the time to a first event does.
-        let times = if ask.is_turn { 3.0 } else { 5.0 };
-        let patience = Duration::from_secs_f64(g.expected_ms * times / 1e3).max(LEAST_PATIENCE);
+        // Plain work varies more by itself than the time to a first event does; that grows under load,
+        // and a line that leaves its engine for it is read anew.
+        let (times, least) = if ask.is_turn { (4.0, TURN_PATIENCE) } else { (5.0, CALL_PATIENCE) };
+        let patience = Duration::from_secs_f64(g.expected_ms * times / 1e3).max(least);
         self.evidence.begin(g.key, g.serial, patience, now);
         if let Some(e) = self.engines.get_mut(g.key) {
             e.own += 1;
