--- a/crates/doctor/src/findings/mod.rs
+++ b/crates/doctor/src/findings/mod.rs
@@ -102,11 +102,11 @@
         }
     }
     let set = f.stores.iter().filter_map(|s| s.told).map(|(serial, _, _)| serial).max();
-    let counted = f.stores.iter().filter(|s| s.state != "Copying").count();
+    let counted = f.stores.iter().filter(|s| s.state == "Seated").count();
     if counted < 3 && !f.stores.is_empty() {
         say(
             "stores",
-            format!("{counted} stores count"),
+            format!("{counted} stores have a seat"),
             "with fewer than three the loss of one stops turns; add storage machines",
         );
     }
@@ -115,7 +115,7 @@
             None => say(
                 &s.name,
                 format!("the store at {} doesn't answer", s.addr),
-                "see whether turn-store runs there; its copies are given anew once it is replaced",
+                "see whether turn-store runs there; the others go on, and fill the one that replaces it",
             ),
             Some((_, true, _)) => say(
                 &s.name,
@@ -188,7 +188,7 @@
         };
         let store = |name: &str| StoreFact {
             name: name.into(),
-            state: "Ready".into(),
+            state: "Seated".into(),
             addr: String::new(),
             told: Some((1, false, 7)),
         };
--- a/crates/inner-protocol/src/feed.rs
+++ b/crates/inner-protocol/src/feed.rs
@@ -85,7 +85,10 @@
         topics == Topics::All
             || !matches!(
                 self,
-                FeedItem::Config { .. } | FeedItem::ConfigPatch { .. } | FeedItem::Area(_)
+                FeedItem::Config { .. }
+                    | FeedItem::ConfigPatch { .. }
+                    | FeedItem::Area(_)
+                    | FeedItem::Trial { .. }
             )
     }
 }
