--- a/crates/dispatcher/tests/node.rs
+++ b/crates/dispatcher/tests/node.rs
@@ -84,6 +84,52 @@
         decide(&t, allowance)
     };
     assert_eq!((near(250), near(249)), (go, ClaimDecision::Reread));
+    // Room for itself and two more like it: 100 is known to be taken.
+    let within = |allowance| decide(&run_with(Reread::Within(2)), allowance);
+    assert_eq!((within(250), within(249)), (go, ClaimDecision::Reread));
+}
+
+fn run_with(reread: Reread) -> ClaimTally {
+    let limits = Limits { per_line: 0, reread, ..Limits::default() };
+    let mut t = ClaimTally::new(1, 9, 5, limits);
+    t.take(1, &OK, ProgramView { live: vec![view(1, 5)], ..ProgramView::default() });
+    t
+}
+
+/// Of claims at once, each of which sees at least those that it meets first at some store, one sees half
+/// of the others: with room left for two more, seven of them go at most one turn beyond the budget.
+#[test]
+fn claims_at_once_that_don_t_ask_again_stay_within_a_turn_of_the_budget() {
+    for seed in 0..300u64 {
+        arbtest::arbtest(|u| {
+            let k = u.int_in_range(2..=7usize)?;
+            let allowance = u.int_in_range(2..=9u64)? * 50;
+            let mut sees = vec![Vec::new(); k];
+            for i in 0..k {
+                for j in 0..i {
+                    match u.int_in_range(0..=2u8)? {
+                        0 => sees[i].push(j),
+                        1 => sees[j].push(i),
+                        _ => {
+                            sees[i].push(j);
+                            sees[j].push(i);
+                        }
+                    }
+                }
+            }
+            let limits = Limits { per_line: 0, reread: Reread::Within(2), ..Limits::default() };
+            let gone = sees.iter().enumerate().filter(|(i, seen)| {
+                let mut t = ClaimTally::new(1, 100 + *i as u64, 5, limits);
+                let live = seen.iter().map(|j| view(100 + *j as u64, 5)).collect();
+                t.take(1, &OK, ProgramView { live, ..ProgramView::default() });
+                matches!(t.decide(Some(allowance), 100, &|_| true), ClaimDecision::Go { .. })
+            });
+            let taken = gone.count() as u64 * 100;
+            assert!(taken <= allowance + 100, "{taken} of {allowance}: {sees:?}");
+            Ok(())
+        })
+        .seed(seed << 32 | 256);
+    }
 }
 
 #[test]
--- a/crates/session-index/src/evidence/tests.rs
+++ b/crates/session-index/src/evidence/tests.rs
@@ -372,6 +372,7 @@
         budget: ms(1000),
         tried: tried.iter().map(|id| EngineKey::of(id)).collect(),
         may_probe,
+        policy: Policy::Current,
     };
     let place = |s: &mut Scheduler, a: Ask, at: u64| match s.place(a, ms(at)) {
         Placed::Go(g) => g,
--- a/crates/stand-ins/tests/whole_path.rs
+++ b/crates/stand-ins/tests/whole_path.rs
@@ -79,6 +79,17 @@
 }
 
 async fn turn(id: &str, prev: Option<&str>, most: &str, budget: &str, body: &[u8]) -> Answered {
+    turn_of("line", id, prev, most, budget, body).await
+}
+
+async fn turn_of(
+    line: &str,
+    id: &str,
+    prev: Option<&str>,
+    most: &str,
+    budget: &str,
+    body: &[u8],
+) -> Answered {
     let counts = format!("{},{most}", body.len());
     let prefix = format!("aa:{}", body.len());
     let mut h = vec![
@@ -89,7 +100,7 @@
         (names::TOKENS, counts.as_str()),
         (names::PREFIX, prefix.as_str()),
         (names::PROGRAM, "prog"),
-        (names::SESSION, "line"),
+        (names::SESSION, line),
         (names::FINISH, "9000"),
         (names::BUDGET, budget),
     ];
@@ -271,6 +282,22 @@
     assert_eq!(inside.body, inner.as_bytes());
     assert_eq!(runs("inner"), 0);
 
+    // The dispatcher decides: the engine has room for all of these, but four attempts of a line that may
+    // still run hold its slots. Another line of the program goes.
+    for i in 0..4 {
+        llm.be(Mood::Cut);
+        let a = turn_of("slots", &format!("k{i}"), None, "10", "100000", b"x").await;
+        assert!(a.status == 200 && !a.whole, "a closed connection proves no stop");
+    }
+    let a = turn_of("slots", "k4", None, "10", "100000", b"x").await;
+    assert_eq!(a.status, 503);
+    assert!(a.headers.contains_key("retry-after"));
+    assert!(!llm.runs().iter().any(|r| r.request_id == "k4"), "a promise");
+    assert_eq!(turn_of("other", "k5", None, "10", "100000", b"x").await.status, 200);
+    // An attempt is claimed once: its id again is refused, and nothing runs.
+    assert_eq!(turn_of("other", "k5", None, "10", "100000", b"x").await.status, 503);
+    assert_eq!(llm.runs().iter().filter(|r| r.request_id == "k5").count(), 1);
+
     // News of a configuration reaches the proxy, and old ways stay.
     assert_eq!(put(9, 3, &config(9, true)).await, 200);
     until("the new way", async || plain("n2", "GET", "/n/a", b"").await.status == 200).await;
