What a group doesn't hold whole is searched at every store; turns wait in the dispatcher's ready queue

Change: `OpenStep::Search` for a chain that is held in part as for one that isn't held. Beside it: the scheduler's waitlist gives way to `ReadyQueue` (same order, and the order within a line, counts by pool without scans); its old module is gone.

--- a/crates/request-proxy/src/flow/mod.rs
+++ b/crates/request-proxy/src/flow/mod.rs
@@ -1,5 +1,5 @@
 //! The way of a request: door, way, opening of its turn, placement, send, relay, closing of its turn.
-//! The stage between opening and sending is the scheduler's bounded waitlist.
+//! The stage between opening and sending is the dispatcher's bounded ready queue.
 mod place;
 mod plain;
 mod turn;
--- a/crates/request-proxy/src/flow/place.rs
+++ b/crates/request-proxy/src/flow/place.rs
@@ -1,4 +1,4 @@
-//! Placement: an engine now, or a place in the waitlist until there is one.
+//! Placement: an engine now, or a place in the ready queue until there is one.
 use super::Job;
 use crate::app::locked;
 use crate::prelude::*;
@@ -28,7 +28,7 @@
     }
 }
 
-/// Leaves the waitlist when the client goes away.
+/// Leaves the ready queue when the client goes away.
 struct Waiting<'a> {
     app: &'a App,
     ticket: u64,
--- a/crates/request-proxy/src/turns/bank.rs
+++ b/crates/request-proxy/src/turns/bank.rs
@@ -262,8 +262,7 @@
             let others: Vec<u64> = heard.iter().chain(&ids).copied().collect();
             match ledger.step(&asked, &others) {
                 OpenStep::Ready => break,
-                OpenStep::Fault(OpenFault::NoTurn) => {
-                    // It may be another program's.
+                OpenStep::Search => {
                     let Some(id) = previous else { return Err(OpenFault::NoTurn) };
                     match self.find_anywhere(set, id).await? {
                         Some(chain) => {
@@ -537,7 +536,7 @@
                     }
                     continue;
                 }
-                OpenStep::Wait => {}
+                OpenStep::Wait | OpenStep::Search => {}
             }
             match work.next().await {
                 Some((at, Ok(StoreReply::Found { whole, held, turns }))) => {
--- a/crates/request-proxy/src/turns/open.rs
+++ b/crates/request-proxy/src/turns/open.rs
@@ -30,6 +30,8 @@
     /// How many must say that they don't hold the turn.
     pub noes: usize,
     pub wants_turn: bool,
+    /// All stores are asked, not a program's group.
+    pub everywhere: bool,
     pub answered: usize,
     /// Those that failed, or don't know the program whole.
     pub failed: usize,
@@ -44,6 +46,8 @@
     Wait,
     /// Ask this store for these turns.
     Fetch(u64, Vec<String>),
+    /// The group doesn't hold the turn, or not its whole chain: it may be another program's.
+    Search,
     Ready,
     Fault(OpenFault),
 }
@@ -55,6 +59,7 @@
             quorum,
             noes: quorum,
             wants_turn,
+            everywhere: false,
             answered: 0,
             failed: 0,
             said_no: 0,
@@ -67,7 +72,7 @@
     /// with a majority of some group: it is nowhere when all but the tolerated losses say no.
     pub fn search(set: &StoreSet, size: usize) -> Self {
         let noes = set.seated().saturating_sub(set.tolerated as usize).max(1);
-        OpenLedger { noes, ..OpenLedger::new(size, 0, true) }
+        OpenLedger { noes, everywhere: true, ..OpenLedger::new(size, 0, true) }
     }
 
     /// Takes a store's answer; `counts` tells that it knows the program whole and granted the claim.
@@ -123,13 +128,13 @@
             let next = holders.chain(others.iter().copied()).find(|s| !asked.contains(s));
             return match next {
                 Some(s) => OpenStep::Fetch(s, missing),
-                None if self.all_heard() => OpenStep::Fault(OpenFault::Unsure),
+                None if self.all_heard() => self.not_here(OpenFault::Unsure),
                 None => OpenStep::Wait,
             };
         }
         // A turn that counts lies with a majority of its group, which no other majority misses.
         if self.said_no >= self.noes {
-            return OpenStep::Fault(OpenFault::NoTurn);
+            return self.not_here(OpenFault::NoTurn);
         }
         match self.all_heard() {
             true => OpenStep::Fault(OpenFault::Unsure),
@@ -137,6 +142,13 @@
         }
     }
 
+    fn not_here(&self, f: OpenFault) -> OpenStep {
+        match self.everywhere {
+            true => OpenStep::Fault(f),
+            false => OpenStep::Search,
+        }
+    }
+
     /// The chain in order, once it is whole.
     pub fn chain(mut self) -> Vec<TurnRecord> {
         let ids = match self.yes.into_iter().next() {
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -4,10 +4,8 @@
 mod prior;
 #[cfg(test)]
 mod tests;
-mod waitlist;
 
 use crate::prelude::*;
-use waitlist::Waitlist;
 
 /// What a request wants.
 #[derive(Debug, Clone)]
@@ -124,7 +122,7 @@
 const CALL_PATIENCE: Duration = Duration::from_millis(500);
 const REPORT_EVERY: Duration = Duration::from_secs(10);
 
-/// Invariants: every grant is ended exactly once; tickets in the waitlist are unknown elsewhere.
+/// Invariants: every grant is ended exactly once; tickets in the ready queue are unknown elsewhere.
 pub struct Scheduler {
     pub engines: EngineTable,
     pub evidence: EvidenceTable,
@@ -135,13 +133,15 @@
     /// While there is a trial: admissions of a request while a more urgent one of the same service
     /// waited. Each is a fault of this scheduler.
     pub inversions: u64,
-    waitlist: Waitlist,
+    /// What may not run now, in the dispatcher's order.
+    ready: ReadyQueue<Ask>,
     next_ticket: u64,
     next_serial: u64,
 }
 
 impl Scheduler {
     pub fn new(tuning: SchedulerTuning) -> Self {
+        let most_waiting = tuning.most_waiting;
         Scheduler {
             engines: EngineTable::default(),
             evidence: EvidenceTable::default(),
@@ -149,7 +149,7 @@
             tuning,
             trial: None,
             inversions: 0,
-            waitlist: Waitlist::default(),
+            ready: ReadyQueue::new(most_waiting),
             next_ticket: 0,
             next_serial: 0,
         }
@@ -163,7 +163,7 @@
 
     /// A grant, if the request may go at once.
     pub fn place_now(&mut self, ask: &Ask, now: Duration) -> Option<Grant> {
-        if self.waitlist.is_waiting(&ask.service, ask.priority) {
+        if self.ready.is_waiting(&ask.service, ask.priority) {
             return None;
         }
         let g = self.elect(ask, now)?;
@@ -178,21 +178,33 @@
             return Placed::Go(g);
         }
         let wait = self.expected_wait(&ask, now);
-        if self.waitlist.len() >= self.tuning.most_waiting || wait > ask.budget / 2 {
-            return Placed::Shed(wait.clamp(Duration::from_millis(50), Duration::from_secs(2)));
+        let refused = Placed::Shed(wait.clamp(Duration::from_millis(50), Duration::from_secs(2)));
+        if wait > ask.budget / 2 {
+            return refused;
         }
         self.next_ticket += 1;
         let ticket = self.next_ticket;
-        self.waitlist.add(ticket, ask, now);
-        Placed::Wait(ticket)
+        let turn = ReadyTurn {
+            pool: ask.service.clone(),
+            line: ask.session.as_ref().map(|s| fnv64(s.as_bytes())),
+            priority: ask.priority,
+            begin_by: now + ask.slack,
+        };
+        match self.ready.add(ticket, turn, ask) {
+            Ok(()) => Placed::Wait(ticket),
+            Err(_) => refused,
+        }
     }
 
     fn begin(&mut self, ask: &Ask, mut g: Grant, now: Duration) -> Grant {
-        if self.trial.is_some() && self.waitlist.more_urgent(&ask.service, ask.priority) {
+        let more_urgent = ask.priority.checked_sub(1);
+        let passed = more_urgent.is_some_and(|p| self.ready.is_waiting(&ask.service, p));
+        if self.trial.is_some() && passed {
             self.inversions += 1;
         }
         self.next_serial += 1;
         g.serial = self.next_serial;
+        self.ready.begin(&ask.service);
         // Plain work varies more by itself than the time to a first event does; that grows under load,
         // and a line that leaves its engine for it is read anew.
         let (times, least) = if ask.is_turn { (4.0, TURN_PATIENCE) } else { (5.0, CALL_PATIENCE) };
@@ -236,6 +248,7 @@
     /// A grant ends. `fresh_left` tells that its prompt was never read.
     pub fn end(&mut self, g: &Grant, was_read: bool, now: Duration) -> Vec<(u64, Grant)> {
         self.evidence.finish(g.key, g.serial, now);
+        self.ready.end(&g.service);
         if let Some(e) = self.engines.get_mut(g.key) {
             e.own = e.own.saturating_sub(1);
             e.memory = e.memory.saturating_sub(g.memory);
@@ -250,11 +263,11 @@
     pub fn pump(&mut self, now: Duration) -> Vec<(u64, Grant)> {
         let mut out = Vec::new();
         let mut stuck: HashSet<Arc<str>> = HashSet::new();
-        while let Some((ticket, ask)) = self.waitlist.next(&stuck) {
+        while let Some((ticket, ask)) = self.ready.next(&stuck).map(|(t, a)| (t, a.clone())) {
             match self.elect(&ask, now) {
                 Some(g) => {
                     let g = self.begin(&ask, g, now);
-                    self.waitlist.remove(ticket);
+                    self.ready.remove(ticket);
                     out.push((ticket, g));
                 }
                 None => {
@@ -298,7 +311,7 @@
     }
 
     pub fn give_up(&mut self, ticket: u64) {
-        self.waitlist.remove(ticket);
+        self.ready.remove(ticket);
     }
 
     /// A send didn't run: another engine lives there, the engine turned it away, or wasn't reached.
@@ -370,7 +383,7 @@
         if room <= 0.0 {
             return Duration::from_millis(300);
         }
-        let queued = self.waitlist.of_service(&ask.service) as f64;
+        let queued = self.ready.of_pool(&ask.service) as f64;
         let mean = self
             .engines
             .of_service(&ask.service)
