A store that said no to a turn is still asked for the turns before it

Change: `OpenLedger` keeps who was asked, and counts a store only for a yes with the chain wanted. Whole stores copy nothing in the schedules, and what an open wants is drawn: now they fail without the search at every store.

--- a/crates/request-proxy/src/turns/bank.rs
+++ b/crates/request-proxy/src/turns/bank.rs
@@ -252,7 +252,6 @@
         let slow = tokio::time::sleep(SLOW);
         tokio::pin!(slow);
         let ids: Vec<u64> = row.iter().map(|e| e.id).collect();
-        let mut asked: Vec<u64> = ids.first().copied().into_iter().collect();
         let mut heard: Vec<u64> = Vec::new();
         let mut elsewhere = None;
         let mut ledger = OpenLedger::new(row.len(), quorum, previous.is_some());
@@ -260,7 +259,7 @@
         let mut tally = ClaimTally::new(quorum, ask.req, line, self.limits);
         loop {
             let others: Vec<u64> = heard.iter().chain(&ids).copied().collect();
-            match ledger.step(&asked, &others) {
+            match ledger.step(&others) {
                 OpenStep::Ready => break,
                 OpenStep::Search => {
                     let Some(id) = previous else { return Err(OpenFault::NoTurn) };
@@ -280,7 +279,6 @@
                     return Err(f);
                 }
                 OpenStep::Fetch(id, turns) => {
-                    asked.push(id);
                     if let Some(e) = set.find(id) {
                         let q = encode(&StoreCall::Fetch { ids: turns });
                         if let Ok(StoreReply::Turns(t)) = self.link(&e.addr).call(q, CALL).await {
@@ -303,7 +301,8 @@
                     if let (true, Some(o)) = (r.knows, &r.outcome) {
                         tally.take(id, o, r.view);
                     }
-                    ledger.take(id, r.knows && granted, r.held, r.turns);
+                    let wanted = ids.first() == Some(&id);
+                    ledger.take(id, r.knows && granted, wanted, (r.held, r.turns));
                     if !(r.knows && granted) {
                         work.extend(rest.drain(..).map(|(i, e)| call(i, e, previous)));
                     }
@@ -520,14 +519,12 @@
             })
             .collect();
         let ids: Vec<u64> = set.stores.iter().map(|e| e.id).collect();
-        let mut asked: Vec<u64> = Vec::new();
         let mut ledger = OpenLedger::search(set, ids.len());
         loop {
-            match ledger.step(&asked, &ids) {
+            match ledger.step(&ids) {
                 OpenStep::Ready => return Ok(Some(ledger.chain())),
                 OpenStep::Fault(f) => return Err(f),
                 OpenStep::Fetch(at, turns) => {
-                    asked.push(at);
                     if let Some(e) = set.find(at) {
                         let q = encode(&StoreCall::Fetch { ids: turns });
                         if let Ok(StoreReply::Turns(t)) = self.link(&e.addr).call(q, CALL).await {
@@ -540,7 +537,7 @@
             }
             match work.next().await {
                 Some((at, Ok(StoreReply::Found { whole, held, turns }))) => {
-                    ledger.take(at, whole, held, turns);
+                    ledger.take(at, whole, true, (held, turns));
                 }
                 Some((_, Ok(StoreReply::Stale(newer)))) => {
                     self.learn(newer);
--- a/crates/request-proxy/src/turns/open.rs
+++ b/crates/request-proxy/src/turns/open.rs
@@ -38,6 +38,8 @@
     pub said_no: usize,
     pub yes: Vec<(u64, Vec<String>)>,
     pub turns: HashMap<String, TurnRecord>,
+    /// Stores that have given all they hold of the chain.
+    asked: Vec<u64>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -65,6 +67,7 @@
             said_no: 0,
             yes: Vec::new(),
             turns: HashMap::new(),
+            asked: Vec::new(),
         }
     }
 
@@ -75,14 +78,22 @@
         OpenLedger { noes, everywhere: true, ..OpenLedger::new(size, 0, true) }
     }
 
-    /// Takes a store's answer; `counts` tells that it knows the program whole and granted the claim.
-    pub fn take(&mut self, store: u64, counts: bool, held: Held, turns: Vec<TurnRecord>) {
+    /// Takes a store's answer; `counts` tells that it knows the program whole and granted the claim,
+    /// `wanted` that it was to bring the chain along.
+    pub fn take(&mut self, store: u64, counts: bool, wanted: bool, r: (Held, Vec<TurnRecord>)) {
+        let (held, turns) = r;
         match counts {
             true => self.answered += 1,
             false => self.failed += 1,
         }
         match held {
-            Held::Yes(ids) => self.yes.push((store, ids)),
+            Held::Yes(ids) => {
+                // One that says no has brought nothing, and may hold turns before this one.
+                if wanted {
+                    self.asked.push(store);
+                }
+                self.yes.push((store, ids));
+            }
             Held::No => self.said_no += usize::from(counts),
         }
         self.bring(turns);
@@ -107,9 +118,9 @@
         Some(ids.iter().filter(|i| !self.turns.contains_key(*i)).cloned().collect())
     }
 
-    /// What to do next. `asked` names the stores already asked for turns in vain, `others` all that may
-    /// be asked, the likeliest first.
-    pub fn step(&self, asked: &[u64], others: &[u64]) -> OpenStep {
+    /// What to do next; a store named in `Fetch` is then taken as asked. `others` are all that may be
+    /// asked for turns, the likeliest first.
+    pub fn step(&mut self, others: &[u64]) -> OpenStep {
         if self.size < self.quorum + self.failed {
             return OpenStep::Fault(OpenFault::Unsure);
         }
@@ -125,9 +136,12 @@
             }
             // Those that hold the turn first, then any other.
             let holders = self.yes.iter().map(|(s, _)| *s);
-            let next = holders.chain(others.iter().copied()).find(|s| !asked.contains(s));
+            let next = holders.chain(others.iter().copied()).find(|s| !self.asked.contains(s));
             return match next {
-                Some(s) => OpenStep::Fetch(s, missing),
+                Some(s) => {
+                    self.asked.push(s);
+                    OpenStep::Fetch(s, missing)
+                }
                 None if self.all_heard() => self.not_here(OpenFault::Unsure),
                 None => OpenStep::Wait,
             };
--- a/crates/request-proxy/tests/open.rs
+++ b/crates/request-proxy/tests/open.rs
@@ -15,7 +15,7 @@
 }
 
 fn no(l: &mut OpenLedger, store: u64, counts: bool) {
-    l.take(store, counts, Held::No, Vec::new());
+    l.take(store, counts, false, (Held::No, Vec::new()));
 }
 
 fn yes(ids: &[&str]) -> Held {
@@ -27,23 +27,23 @@
     let mut l = OpenLedger::new(5, 3, true);
     no(&mut l, 1, true);
     no(&mut l, 2, false);
-    assert_eq!(l.step(&[], &[]), OpenStep::Wait, "one that doesn't know says nothing");
+    assert_eq!(l.step(&[]), OpenStep::Wait, "one that doesn't know says nothing");
     no(&mut l, 3, true);
-    assert_eq!(l.step(&[], &[]), OpenStep::Wait);
+    assert_eq!(l.step(&[]), OpenStep::Wait);
     no(&mut l, 4, true);
-    assert_eq!(l.step(&[], &[]), OpenStep::Search, "it may be another program's");
+    assert_eq!(l.step(&[]), OpenStep::Search, "it may be another program's");
     let mut l = OpenLedger::new(5, 3, true);
     no(&mut l, 1, true);
     no(&mut l, 2, true);
     no(&mut l, 3, false);
     l.fail();
-    assert_eq!(l.step(&[], &[]), OpenStep::Wait);
+    assert_eq!(l.step(&[]), OpenStep::Wait);
     l.fail();
-    assert_eq!(l.step(&[], &[]), OpenStep::Fault(OpenFault::Unsure));
+    assert_eq!(l.step(&[]), OpenStep::Fault(OpenFault::Unsure));
     let mut l = OpenLedger::new(3, 2, false);
     l.fail();
     l.fail();
-    assert_eq!(l.step(&[], &[]), OpenStep::Fault(OpenFault::Unsure));
+    assert_eq!(l.step(&[]), OpenStep::Fault(OpenFault::Unsure));
 }
 
 /// An incident: a store of the new program's group held another program's turn, and no store of the group
@@ -51,11 +51,26 @@
 #[test]
 fn a_chain_that_the_group_holds_in_part_is_searched_at_every_store() {
     let mut l = OpenLedger::new(3, 2, true);
-    l.take(1, true, yes(&["a", "b"]), vec![turn("b", &["a"])]);
+    l.take(1, true, true, (yes(&["a", "b"]), vec![turn("b", &["a"])]));
     no(&mut l, 2, true);
-    assert_eq!(l.step(&[1], &[1, 2, 3]), OpenStep::Fetch(2, vec!["a".into()]));
+    assert_eq!(l.step(&[1, 2, 3]), OpenStep::Fetch(2, vec!["a".into()]));
     no(&mut l, 3, true);
-    assert_eq!(l.step(&[1, 2, 3], &[1, 2, 3]), OpenStep::Search);
+    assert_eq!(l.step(&[1, 2, 3]), OpenStep::Fetch(3, vec!["a".into()]));
+    assert_eq!(l.step(&[1, 2, 3]), OpenStep::Search);
+}
+
+/// The same incident's other half: the store that was to bring the chain said no to the turn, held the one
+/// before it, and was taken as asked.
+#[test]
+fn a_store_that_said_no_is_still_asked_for_the_turns_before() {
+    let mut l = OpenLedger::new(3, 2, true);
+    l.take(1, true, true, (Held::No, Vec::new()));
+    l.take(3, true, false, (yes(&["a", "b"]), Vec::new()));
+    assert_eq!(l.step(&[1, 2, 3]), OpenStep::Fetch(3, vec!["a".into(), "b".into()]));
+    l.bring(vec![turn("b", &["a"])]);
+    assert_eq!(l.step(&[1, 2, 3]), OpenStep::Fetch(1, vec!["a".into()]));
+    l.bring(vec![turn("a", &[])]);
+    assert_eq!(l.step(&[1, 2, 3]), OpenStep::Ready);
 }
 
 /// A search over all stores: nowhere only when all but the tolerated losses say no.
@@ -77,26 +92,26 @@
     let mut l = OpenLedger::search(&set, 9);
     for s in 1..=6 {
         no(&mut l, s, true);
-        assert_eq!(l.step(&[], &[]), OpenStep::Wait);
+        assert_eq!(l.step(&[]), OpenStep::Wait);
     }
     l.fail();
     no(&mut l, 8, false);
-    assert_eq!(l.step(&[], &[]), OpenStep::Wait);
+    assert_eq!(l.step(&[]), OpenStep::Wait);
     no(&mut l, 9, true);
-    assert_eq!(l.step(&[], &[]), OpenStep::Fault(OpenFault::NoTurn));
+    assert_eq!(l.step(&[]), OpenStep::Fault(OpenFault::NoTurn));
     let mut l = OpenLedger::search(&set, 9);
-    l.take(1, false, yes(&["a"]), vec![turn("a", &[])]);
-    assert_eq!(l.step(&[], &[]), OpenStep::Ready, "one that holds it is enough");
+    l.take(1, false, true, (yes(&["a"]), vec![turn("a", &[])]));
+    assert_eq!(l.step(&[]), OpenStep::Ready, "one that holds it is enough");
 }
 
 #[test]
 fn a_chain_is_gathered_from_several_stores_in_order() {
     let mut l = OpenLedger::new(3, 2, true);
-    l.take(1, true, yes(&["a", "b", "c"]), vec![turn("c", &[]), turn("b", &[])]);
+    l.take(1, true, true, (yes(&["a", "b", "c"]), vec![turn("c", &[]), turn("b", &[])]));
     no(&mut l, 2, true);
-    assert_eq!(l.step(&[1], &[1, 2, 3]), OpenStep::Fetch(2, vec!["a".into()]));
+    assert_eq!(l.step(&[1, 2, 3]), OpenStep::Fetch(2, vec!["a".into()]));
     l.bring(vec![turn("a", &[])]);
-    assert_eq!(l.step(&[1, 2], &[1, 2, 3]), OpenStep::Ready);
+    assert_eq!(l.step(&[1, 2, 3]), OpenStep::Ready);
     let ids: Vec<String> = l.chain().into_iter().map(|t| t.id).collect();
     assert_eq!(ids, ["a", "b", "c"]);
 }
--- a/crates/stand-ins/tests/store_schedules.rs
+++ b/crates/stand-ins/tests/store_schedules.rs
@@ -179,7 +179,8 @@
     /// Store `i` asks store `j` for all it doesn't know.
     fn sync(&mut self, i: usize, j: usize) {
         let (me, version) = (self.stores[i].id, self.stores[i].tables.knowledge.set.version);
-        if i == j || !self.stores[i].up {
+        // One that is whole asks nobody: it goes on without the turns that others kept.
+        if i == j || !self.stores[i].up || self.stores[i].is_whole() {
             return;
         }
         let q = StoreCall::Sync(SyncCall { version, me, after: None });
@@ -221,10 +222,9 @@
         let mut l = OpenLedger::new(group.len(), set.quorum(), prev.is_some());
         let limits = Limits { per_line: 0, reread: Reread::Never, ..Limits::default() };
         let mut tally = ClaimTally::new(set.quorum(), req, req, limits);
-        let mut asked = Vec::new();
         let mut rest = order.iter();
         loop {
-            match l.step(&asked, &group) {
+            match l.step(&group) {
                 OpenStep::Ready => {
                     let go = tally.decide(None, 10, &|_| true);
                     assert!(matches!(go, ClaimDecision::Go { .. }), "{go:?}");
@@ -233,7 +233,6 @@
                 OpenStep::Search => return self.search(set, prev),
                 OpenStep::Fault(f) => return Ok(Err(f)),
                 OpenStep::Fetch(id, ids) => {
-                    asked.push(id);
                     let got = self.at(id).and_then(|s| s.call(StoreCall::Fetch { ids }));
                     if let Some(StoreReply::Turns(t)) = got {
                         l.bring(t);
@@ -243,12 +242,13 @@
                 OpenStep::Wait => {}
             }
             let Some(id) = rest.next() else { return Ok(Err(OpenFault::Unsure)) };
+            let want: bool = u.arbitrary()?;
             let q = StoreCall::Open(OpenCall {
                 version: set.version,
                 program: program.clone(),
                 claim: Some(LedgerWrite::Claim { attempt: attempt(req), lease: LEASE }),
                 prev: prev.map(String::from),
-                want: u.arbitrary()?,
+                want,
             });
             match self.at(*id).and_then(|s| s.call(q)) {
                 Some(StoreReply::Open(r)) => {
@@ -257,7 +257,7 @@
                     if r.knows {
                         tally.take(*id, &outcome, r.view);
                     }
-                    l.take(*id, counts, r.held, r.turns);
+                    l.take(*id, counts, want, (r.held, r.turns));
                 }
                 _ => l.fail(),
             }
@@ -275,17 +275,15 @@
             let q = StoreCall::Find { version: set.version, id: prev.unwrap_or("").into() };
             match self.at(*id).and_then(|s| s.call(q)) {
                 Some(StoreReply::Found { whole, held, turns }) => {
-                    l.take(*id, whole, held, turns);
+                    l.take(*id, whole, true, (held, turns));
                 }
                 _ => l.fail(),
             }
         }
-        let mut asked = Vec::new();
         loop {
-            match l.step(&asked, &ids) {
+            match l.step(&ids) {
                 OpenStep::Ready => return Ok(Ok((0, l.chain()))),
                 OpenStep::Fetch(id, turns) => {
-                    asked.push(id);
                     let got = self.at(id).and_then(|s| s.call(StoreCall::Fetch { ids: turns }));
                     if let Some(StoreReply::Turns(t)) = got {
                         l.bring(t);
