--- a/crates/request-proxy/src/turns/bank.rs
+++ b/crates/request-proxy/src/turns/bank.rs
@@ -279,12 +279,7 @@
                     return Err(f);
                 }
                 OpenStep::Fetch(id, turns) => {
-                    if let Some(e) = set.find(id) {
-                        let q = encode(&StoreCall::Fetch { ids: turns });
-                        if let Ok(StoreReply::Turns(t)) = self.link(&e.addr).call(q, CALL).await {
-                            ledger.bring(t);
-                        }
-                    }
+                    ledger.bring(self.fetch(set, id, turns).await);
                     continue;
                 }
                 OpenStep::Wait => {}
@@ -525,12 +520,7 @@
                 OpenStep::Ready => return Ok(Some(ledger.chain())),
                 OpenStep::Fault(f) => return Err(f),
                 OpenStep::Fetch(at, turns) => {
-                    if let Some(e) = set.find(at) {
-                        let q = encode(&StoreCall::Fetch { ids: turns });
-                        if let Ok(StoreReply::Turns(t)) = self.link(&e.addr).call(q, CALL).await {
-                            ledger.bring(t);
-                        }
-                    }
+                    ledger.bring(self.fetch(set, at, turns).await);
                     continue;
                 }
                 OpenStep::Wait | OpenStep::Search => {}
@@ -554,6 +544,16 @@
         }
     }
 
+    /// What a store holds of these turns.
+    async fn fetch(&self, set: &StoreSet, at: u64, ids: Vec<String>) -> Vec<TurnRecord> {
+        let Some(e) = set.find(at) else { return Vec::new() };
+        let q = encode(&StoreCall::Fetch { ids });
+        match self.link(&e.addr).call(q, CALL).await {
+            Ok(StoreReply::Turns(t)) => t,
+            _ => Vec::new(),
+        }
+    }
+
     /// Hands the set to a store that hasn't heard of it.
     fn teach(&self, set: &StoreSet, id: u64) {
         if let Some(e) = set.find(id) {
