A group bears zones and regions that may be lost, not machines only; settings tested

toleratedLosses may name zones instead of machines; the group's size took machines alone, and none where these were 0. A lost region is borne only where its stores hold no majority of a group; groups are spread over zones, not yet over regions.

--- a/crates/control-cell/src/owner/lead.rs
+++ b/crates/control-cell/src/owner/lead.rs
@@ -123,7 +123,7 @@
             .values()
             .map(|(s, at)| StoreSight { status: s.clone(), silent: now.duration_since(*at) })
             .collect();
-        if let Some(set) = next_stores(&self.state.stores, &seen, calm, self.env.tolerated_machines)
+        if let Some(set) = next_stores(&self.state.stores, &seen, calm, self.env.tolerated.stores())
         {
             info!("store set {} with {} stores", set.version, set.stores.len());
             return self.change(Change::PutStores { base: self.state.stores.version, set });
--- a/crates/node-base/src/env/check.rs
+++ b/crates/node-base/src/env/check.rs
@@ -138,8 +138,11 @@
         data_dir: raw.data_directory.map(PathBuf::from),
         listen,
         limits,
-        tolerated_machines: ck.num(&raw.tolerated_losses, "toleratedLosses", "machines", 1.0)?
-            as u32,
+        tolerated: Tolerated {
+            machines: ck.num(&raw.tolerated_losses, "toleratedLosses", "machines", 1.0)? as u32,
+            zones: ck.num(&raw.tolerated_losses, "toleratedLosses", "zones", 0.0)? as u32,
+            regions: ck.num(&raw.tolerated_losses, "toleratedLosses", "regions", 0.0)? as u32,
+        },
         bounds,
         cloud: raw.cloud_api.map(|c| check_cloud(&ck, c)).transpose()?,
         dispatcher: check_dispatcher(&ck, &raw.dispatcher)?,
--- a/crates/node-base/src/env/mod.rs
+++ b/crates/node-base/src/env/mod.rs
@@ -21,7 +21,8 @@
     pub data_dir: Option<PathBuf>,
     pub listen: ListenEnv,
     pub limits: LimitsEnv,
-    pub tolerated_machines: u32,
+    /// Machines, zones and regions that may be lost at once.
+    pub tolerated: Tolerated,
     pub bounds: Bounds,
     pub cloud: Option<CloudEnv>,
     pub dispatcher: Limits,
@@ -34,6 +35,22 @@
     pub control: Option<SocketAddr>,
 }
 
+/// What may be lost at the same time while all rules hold.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tolerated {
+    pub machines: u32,
+    pub zones: u32,
+    pub regions: u32,
+}
+
+impl Tolerated {
+    /// Stores of one program's group that may be lost at once. A group has one store a zone as far as
+    /// there are zones, so a lost zone is a lost store. One at the least: a store may always fall.
+    pub fn stores(&self) -> u32 {
+        self.machines.max(self.zones).max(self.regions).max(1)
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct LimitsEnv {
     pub memory_mb: u64,
