An open that is broken off gives its claim back; a chain is looked up once; dead counts left out

A client that went away while its turn was being claimed left the claim unfinished: counted at its most, until its lease lapsed; what stood before the dispatcher gave such a reservation back. `Claiming` settles it, as it now does for a claim that fails. No test shows it: nothing pure is involved, and over sockets it needs a moment that can't be asked for. The chain kept at the proxy was looked up twice a turn; the open is handed what the first look found. `is_whole` stands once.

--- a/crates/inner-protocol/src/stores/mod.rs
+++ b/crates/inner-protocol/src/stores/mod.rs
@@ -165,9 +165,6 @@
         name: String,
         turns: u64,
         programs: u64,
-        /// Attempts that hold a slot: unfinished, and ended without a stop seen.
-        unfinished: u64,
-        unstopped: u64,
         version: u64,
         disk_bytes: u64,
         fresh: bool,
--- a/crates/request-proxy/src/flow/turn.rs
+++ b/crates/request-proxy/src/flow/turn.rs
@@ -56,12 +56,13 @@
     let mut early = None;
     if head.program.is_some() || head.previous.is_some() {
         // Where the line is known here and an engine has room, the launch follows the claim at once.
-        if let Some(chain) = app.bank.chain_here(head.previous) {
+        let known = app.bank.chain_here(head.previous);
+        if let Some(chain) = &known {
             early = place_now(job, &ask_of(job, &turn, chain.last(), &[]));
         }
         let began = Instant::now();
         let engine = early.as_ref().and_then(|h: &Held| h.grant()).map(|g| g.id.to_string());
-        opened = open(job, &turn, engine).await?;
+        opened = open(job, &turn, known, engine).await?;
         let stale = began.elapsed() > CHOSEN;
         early = early.filter(|h| !stale && h.grant().is_some_and(|g| may_send(app, g.key)));
     }
@@ -74,7 +75,12 @@
     locked(&app.sched).engines.get(key).is_some_and(|e| !e.draining)
 }
 
-async fn open(job: &Job<'_>, turn: &Turn<'_>, engine: Option<String>) -> Result<Opened, OwnAnswer> {
+async fn open(
+    job: &Job<'_>,
+    turn: &Turn<'_>,
+    known: Option<Vec<Arc<TurnRecord>>>,
+    engine: Option<String>,
+) -> Result<Opened, OwnAnswer> {
     let (app, head) = (job.app, job.head);
     let claim = head.program.map(|_| ClaimAsk {
         line: fnv64(head.session.unwrap_or("").as_bytes()),
@@ -95,6 +101,7 @@
         req: fnv64(head.request_id.as_bytes()),
         claim,
         previous: head.previous,
+        known,
         listed: &listed,
     };
     let got = app.bank.open(ask, Instant::now() + job.left() / 2).await;
--- a/crates/request-proxy/src/turns/bank.rs
+++ b/crates/request-proxy/src/turns/bank.rs
@@ -45,6 +45,27 @@
     }
 }
 
+/// A claim on its way to a majority. It is settled at nothing unless it is granted: when the claim fails,
+/// and when the client goes away while it is being made. Nothing was sent under it.
+struct Claiming {
+    bank: Arc<TurnBank>,
+    claim: Option<Claim>,
+}
+
+impl Claiming {
+    fn granted(mut self) -> Option<Claim> {
+        self.claim.take()
+    }
+}
+
+impl Drop for Claiming {
+    fn drop(&mut self) {
+        if let Some(c) = self.claim.take() {
+            self.bank.settle(&c, 0, true);
+        }
+    }
+}
+
 /// A turn to be kept.
 pub struct TurnClose {
     pub record: TurnRecord,
@@ -69,6 +90,8 @@
     pub req: u64,
     pub claim: Option<ClaimAsk>,
     pub previous: Option<&'a str>,
+    /// The chain up to `previous`, where it is known here (`chain_here`).
+    pub known: Option<Vec<Arc<TurnRecord>>>,
     /// No only for engines that were seen to leave the list.
     pub listed: &'a (dyn Fn(&str) -> bool + Send + Sync),
 }
@@ -179,6 +202,12 @@
             most: c.most,
             engine: c.engine.clone(),
         });
+        let claim = attempt.as_ref().map(|a| {
+            let epoch = a.epoch();
+            let call = a.engine.clone().map(|engine| Call { at: CallPoint(epoch, 1), engine });
+            Claim { program: ask.program.to_string(), req: ask.req, epoch, call }
+        });
+        let claiming = Claiming { bank: self.clone(), claim };
         let sent = self.now();
         let got = loop {
             let set = self.set();
@@ -199,23 +228,14 @@
             }
             tokio::time::sleep(AGAIN).await;
         };
-        let Some(a) = attempt else { return got };
-        let epoch = a.epoch();
-        let call = a.engine.map(|engine| Call { at: CallPoint(epoch, 1), engine });
-        let claim = Claim { program: ask.program.to_string(), req: ask.req, epoch, call };
-        match got {
-            Ok(o) => {
-                let mut held = locked(&self.hold);
-                held.0.add(ask.req, epoch, self.limits.lease, sent);
-                held.1.insert(ask.req, claim.program.clone());
-                Ok(Opened { claim: Some(claim), ..o })
-            }
-            Err(f) => {
-                // Nothing was sent, and nothing will be.
-                self.settle(&claim, 0, true);
-                Err(f)
-            }
+        let o = got?;
+        let claim = claiming.granted();
+        if let Some(c) = &claim {
+            let mut held = locked(&self.hold);
+            held.0.add(c.req, c.epoch, self.limits.lease, sent);
+            held.1.insert(c.req, c.program.clone());
         }
+        Ok(Opened { claim, ..o })
     }
 
     async fn open_under(
@@ -224,8 +244,7 @@
         ask: &OpenAsk<'_>,
         attempt: Option<&NewAttempt>,
     ) -> Result<Option<Opened>, OpenFault> {
-        let known = ask.previous.and_then(|p| locked(&self.cache).chain(p, Instant::now()));
-        let previous = if known.is_some() { None } else { ask.previous };
+        let previous = if ask.known.is_some() { None } else { ask.previous };
         let row = self.row(set, ask.program);
         let quorum = set.quorum();
         let claim =
@@ -352,7 +371,7 @@
                 _ => return Err(OpenFault::Unsure),
             }
         }
-        let chain = known.unwrap_or_else(|| {
+        let chain = ask.known.clone().unwrap_or_else(|| {
             let chain = elsewhere.unwrap_or_else(|| ledger.chain());
             let chain: Vec<Arc<TurnRecord>> = chain.into_iter().map(Arc::new).collect();
             let mut cache = locked(&self.cache);
--- a/crates/stand-ins/tests/store_schedules.rs
+++ b/crates/stand-ins/tests/store_schedules.rs
@@ -57,8 +57,7 @@
     }
 
     fn is_whole(&self) -> bool {
-        let k = &self.tables.knowledge;
-        k.whole.is_some_and(|w| w.1 >= k.set.version)
+        self.tables.knowledge.is_whole()
     }
 }
 
--- a/crates/turn-store/src/knowledge/mod.rs
+++ b/crates/turn-store/src/knowledge/mod.rs
@@ -45,6 +45,11 @@
         Learnt::Same
     }
 
+    /// It knows all its programs whole under the set in force.
+    pub fn is_whole(&self) -> bool {
+        self.whole.is_some_and(|w| w.1 >= self.set.version)
+    }
+
     pub fn knows(&self, key: u64) -> bool {
         self.set.knows(self.me, self.whole, &self.given, key)
     }
@@ -60,7 +65,7 @@
     /// Whether this store is whole now: all others have given what they know, or those that are missing
     /// and those that were lost are no more than may be, and it knows every program here (`keys`).
     pub fn complete(&mut self, keys: impl Iterator<Item = u64>) -> bool {
-        if self.whole.is_some_and(|w| w.1 >= self.set.version) {
+        if self.is_whole() {
             return false;
         }
         let missing = self.missing().len();
@@ -76,7 +81,7 @@
 
     /// Stores that have not given everything yet, while this store is not whole.
     pub fn missing(&self) -> Vec<StoreEntry> {
-        if self.whole.is_some_and(|w| w.1 >= self.set.version) {
+        if self.is_whole() {
             return Vec::new();
         }
         let lacks = |e: &&StoreEntry| e.id != self.me && !self.given.contains_key(&e.id);
--- a/crates/turn-store/src/tables/mod.rs
+++ b/crates/turn-store/src/tables/mod.rs
@@ -129,10 +129,6 @@
         self.lives.newest(attempt.node).filter(|n| *n > attempt.incarnation)
     }
 
-    fn attempts(&self) -> impl Iterator<Item = &AttemptRecord> {
-        self.programs.values().flat_map(|p| p.ledger.records())
-    }
-
     /// A store has given all it knows; true when this one is whole by that.
     pub fn given(&mut self, version: u64, from: u64, whole: Option<(u64, u64)>) -> bool {
         self.knowledge.given(version, from, whole);
@@ -181,8 +177,7 @@
                     return r;
                 }
                 let (held, turns) = self.chain(&id, true, now);
-                let k = &self.knowledge;
-                let whole = k.whole.is_some_and(|w| w.1 >= k.set.version);
+                let whole = self.knowledge.is_whole();
                 StoreReply::Found { whole, held, turns }
             }
             StoreCall::Close { version, record, foreign, settle } => {
@@ -226,9 +221,6 @@
                 name: String::new(),
                 turns: self.turns.len() as u64,
                 programs: self.programs.len() as u64,
-                unfinished: self.attempts().filter(|r| !r.is_settled()).count() as u64,
-                unstopped: self.attempts().filter(|r| r.is_settled() && !r.is_stopped()).count()
-                    as u64,
                 version: self.knowledge.set.version,
                 disk_bytes: 0,
                 fresh: self.knowledge.whole.is_none(),
