Stores: the leader's waits come from catchUpS, in one place

Cause: silence before a store was replaced (1.5 s) or given up (10 s) was a bare constant; the latter is longer than catchUpS, after which the next loss may come. Test: 'a store back from a freeze is kept' said 5 s; it now says up to remove_after, and that the store goes right after it, which the old test didn't hold.

--- a/crates/control-cell/src/actor/duties.rs
+++ b/crates/control-cell/src/actor/duties.rs
@@ -73,7 +73,9 @@
         }
         let calm = self.members.led_for(now);
         let tolerated = self.settings.now().tolerated.stores();
-        if let Some(set) = self.stores.next(&self.desk.state().stores, now, calm, tolerated) {
+        let bounds = RecoveryBounds::from_catch_up(self.settings.now().bounds.catch_up);
+        let current = &self.desk.state().stores;
+        if let Some(set) = self.stores.next(current, now, calm, tolerated, &bounds) {
             info!("store set {} with {} stores", set.version, set.stores.len());
             let change = Change::PutStores { base: self.desk.state().stores.version, set };
             return self.change(&change, None);
--- a/crates/control-cell/src/actor/stores.rs
+++ b/crates/control-cell/src/actor/stores.rs
@@ -9,7 +9,8 @@
 
 struct Report {
     status: StoreStatus,
-    at: Instant,
+    first: Instant,
+    last: Instant,
 }
 
 /// What an order to retire a store, or a question about one, leads to.
@@ -20,7 +21,9 @@
 
 impl StoreDuty {
     pub fn announced(&mut self, status: StoreStatus) {
-        self.reports.insert(status.id, Report { status, at: Instant::now() });
+        let last = Instant::now();
+        let first = self.reports.get(&status.id).map_or(last, |r| r.first);
+        self.reports.insert(status.id, Report { status, first, last });
     }
 
     /// The next store set, if one is due.
@@ -30,16 +33,18 @@
         now: Instant,
         calm: Duration,
         tolerated: u32,
+        bounds: &RecoveryBounds,
     ) -> Option<StoreSet> {
         let seen: Vec<StoreObservation> = self
             .reports
             .values()
             .map(|r| StoreObservation {
                 status: r.status.clone(),
-                silent: now.duration_since(r.at),
+                silent: now.duration_since(r.last),
+                known_for: now.duration_since(r.first),
             })
             .collect();
-        next_stores(set, &seen, calm, tolerated)
+        next_stores(set, &seen, calm, tolerated, bounds)
     }
 }
 
--- a/crates/control-cell/src/duties/stores.rs
+++ b/crates/control-cell/src/duties/stores.rs
@@ -11,12 +11,10 @@
     pub status: StoreStatus,
     /// How long ago that was.
     pub silent: Duration,
+    /// How long ago its first report came to this leader.
+    pub known_for: Duration,
 }
 
-/// Silence after which a newcomer of its zone replaces a store.
-const REPLACED: Duration = Duration::from_millis(1500);
-/// Silence after which a store is given up without a successor. It comes back as one more.
-const GONE: Duration = Duration::from_secs(10);
 /// A store is at work when it was heard within this.
 const AT_WORK: Duration = Duration::from_millis(1500);
 /// A store may be added only while every other was heard within this: one that is silent for longer may
@@ -43,17 +41,19 @@
     seen: &'a [StoreObservation],
     /// How long this leader has led and could have heard of everybody.
     calm: Duration,
+    bounds: &'a RecoveryBounds,
 }
 
 /// The next set, if one is due. `calm` is how long this leader has led and heard everybody; `tolerated`
-/// how many stores may be lost at once.
+/// how many stores may be lost at once; `bounds` how long silence is waited out.
 pub fn next_stores(
     set: &StoreSet,
     seen: &[StoreObservation],
     calm: Duration,
     tolerated: u32,
+    bounds: &RecoveryBounds,
 ) -> Option<StoreSet> {
-    let observed = Observed { set, seen, calm };
+    let observed = Observed { set, seen, calm, bounds };
     if set.stores.is_empty() && set.version == 0 {
         return observed.founded(tolerated);
     }
@@ -130,7 +130,9 @@
     /// one at its address, or of a silent one in its zone.
     fn predecessor(&self, status: &StoreStatus) -> Option<&StoreEntry> {
         let placed = || self.set.stores.iter().filter(|e| e.state == StoreState::Placed);
-        let silent = |e: &&StoreEntry| e.zone == status.zone && self.silent(e.id) > REPLACED;
+        let silent = |e: &&StoreEntry| {
+            e.zone == status.zone && self.silent(e.id) > self.bounds.replace_after
+        };
         let named = placed().find(|e| e.name == status.name || e.addr == status.addr);
         named.or_else(|| self.set.stores.iter().find(silent))
     }
@@ -171,7 +173,8 @@
         let may_go = |e: &&StoreEntry| spare || e.state == StoreState::Leaving;
         let dead = |e: &&StoreEntry| {
             let ended = self.observation(e.id).is_some_and(|s| s.status.ending);
-            self.silent(e.id) > if ended { REPLACED } else { GONE }
+            self.silent(e.id)
+                > if ended { self.bounds.replace_after } else { self.bounds.remove_after }
         };
         let dead = self.set.stores.iter().filter(may_go).find(dead)?.id;
         Some(self.step(|n| n.stores.retain(|e| e.id != dead)))
--- a/crates/control-cell/src/prelude.rs
+++ b/crates/control-cell/src/prelude.rs
@@ -2,7 +2,7 @@
 pub use crate::actor::{CellCommand, CellHandle, Waiting};
 pub use crate::duties::{
     next_holders, next_membership, next_stores, CorePolicy, JoinRequest, MemberObservation,
-    StoreObservation,
+    RecoveryBounds, StoreObservation,
 };
 pub use crate::feed::{FeedBook, FollowFrom, OpenedFeed, Wants, KEPT, KEPT_BYTES};
 pub use crate::orders::{ChangedPart, DeskEvent, OrderDesk, UnreadableState};
--- a/crates/control-cell/tests/stores.rs
+++ b/crates/control-cell/tests/stores.rs
@@ -17,13 +17,17 @@
 
 fn seen(list: &[(u64, &str, bool)]) -> Vec<StoreObservation> {
     list.iter()
-        .map(|(id, n, f)| StoreObservation { status: status(*id, n, *f), silent: Duration::ZERO })
+        .map(|(id, n, f)| StoreObservation {
+            status: status(*id, n, *f),
+            silent: Duration::ZERO,
+            known_for: LONG,
+        })
         .collect()
 }
 
 fn founded() -> (StoreSet, Vec<StoreObservation>) {
     let s = seen(&[(1, "a", false), (2, "b", false), (3, "c", false), (4, "d", false)]);
-    let set = next_stores(&StoreSet::default(), &s, Duration::from_secs(2), 1).unwrap();
+    let set = next_stores(&StoreSet::default(), &s, Duration::from_secs(2), 1, &bounds()).unwrap();
     (set, s)
 }
 
@@ -38,8 +42,12 @@
 
 const LONG: Duration = Duration::from_secs(60);
 
+fn bounds() -> RecoveryBounds {
+    RecoveryBounds::from_catch_up(Duration::from_secs(6))
+}
+
 fn due(set: &StoreSet, s: &[StoreObservation]) -> Option<StoreSet> {
-    next_stores(set, s, LONG, 1)
+    next_stores(set, s, LONG, 1, &bounds())
 }
 
 #[test]
@@ -99,9 +107,16 @@
 #[test]
 fn a_store_back_from_a_freeze_is_kept_and_a_silent_one_gives_way_to_one_of_its_zone() {
     let (set, mut s) = founded();
-    s[0].silent = Duration::from_secs(5);
+    s[0].silent = bounds().remove_after;
     assert!(due(&set, &s).is_none());
-    s.push(StoreObservation { status: status(9, "n", true), silent: Duration::ZERO });
+    s[0].silent += Duration::from_millis(1);
+    assert!(due(&set, &s).unwrap().find(1).is_none(), "the others keep its programs");
+    s[0].silent = bounds().remove_after;
+    s.push(StoreObservation {
+        status: status(9, "n", true),
+        silent: Duration::ZERO,
+        known_for: LONG,
+    });
     s[4].status.zone = "zone-a".into();
     let set = due(&set, &s).unwrap();
     assert!(set.find(1).is_none() && set.find(9).is_some());
@@ -161,7 +176,11 @@
     let (set, mut s) = founded();
     let set = set.begin_retirement("c");
     s[2].silent = Duration::from_secs(5);
-    s.push(StoreObservation { status: status(9, "n", true), silent: Duration::ZERO });
+    s.push(StoreObservation {
+        status: status(9, "n", true),
+        silent: Duration::ZERO,
+        known_for: LONG,
+    });
     s[4].status.zone = "zone-c".into();
     let next = due(&set, &s).unwrap();
     assert!(next.find(3).is_none() && next.find(9).is_some());
--- a/crates/stand-ins/tests/store_schedules/world.rs
+++ b/crates/stand-ins/tests/store_schedules/world.rs
@@ -1,6 +1,6 @@
 //! The stores, the set and the proxies' side, all pure and without a clock.
 use control_cell::duties::may_retire;
-use control_cell::prelude::{next_stores, StoreObservation};
+use control_cell::prelude::{next_stores, RecoveryBounds, StoreObservation};
 use dispatcher::prelude::{ClaimDecision, ClaimTally, NewAttempt, Pinned, Reread};
 use request_proxy::prelude::{OpenFault, OpenLedger, OpenStep};
 use stand_ins::prelude::*;
@@ -228,10 +228,12 @@
                     (_, false) => Duration::from_secs(3),
                     _ => Duration::from_secs(30),
                 },
+                known_for: Duration::from_secs(60),
             })
             .collect();
         let calm = Duration::from_secs(60);
-        if let Some(next) = next_stores(&self.set, &seen, calm, self.tolerated) {
+        let bounds = RecoveryBounds::from_catch_up(Duration::from_secs(6));
+        if let Some(next) = next_stores(&self.set, &seen, calm, self.tolerated, &bounds) {
             self.old = std::mem::replace(&mut self.set, next);
             self.check_orders();
         }
