inner-protocol: the calls between cells in modules of one job each

No behaviour change, moved text only. Measured: it compiles (cargo check); tests not run for this commit alone.

--- /dev/null
+++ b/crates/inner-protocol/src/cells/calls.rs
@@ -0,0 +1,110 @@
+//! What a cell is asked by other cells and processes, and what it answers.
+use super::{CellStatus, Change, Member, Msg, Outcome, TrialAsk, TrialReport};
+use crate::feed::ZoneTable;
+use crate::prelude::*;
+use crate::stores::StoreStatus;
+
+/// What a cell is asked, by other cells and by its own tasks.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum CellCall {
+    /// One way: an agreement message and who sent it, with the address to answer to.
+    Agree {
+        /// The sender.
+        from: u64,
+        /// Where it is answered.
+        addr: String,
+        /// The message.
+        msg: Msg,
+    },
+    /// A cell that will join asks for the newest agreed index, confirmed by a majority.
+    ReadIndex,
+    /// A cell asks to be taken in.
+    Join {
+        /// Who it is; the entry that takes it in makes its incarnation.
+        member: Member,
+        /// What `ReadIndex` was answered in this life: a request made before another life of the same
+        /// machine was taken in is of an older life.
+        read_at: u64,
+    },
+    /// A cell ends in order: its zones go to others.
+    Leave {
+        /// The cell.
+        id: u64,
+    },
+    /// A change to agree on; answered with its outcome.
+    Propose {
+        /// The change.
+        change: Change,
+    },
+    /// Confirms with a majority; answered with the index a reader must have applied.
+    Confirm,
+    /// A store's report about itself.
+    Announce {
+        /// The report.
+        status: StoreStatus,
+    },
+    /// One way: a holder's table of its zone.
+    Table {
+        /// The table.
+        table: ZoneTable,
+    },
+    /// A store is to be emptied, or how far that is.
+    Retire {
+        /// Its name.
+        store: String,
+        /// Nothing is ordered.
+        ask_only: bool,
+    },
+    /// What `doctor` asks.
+    Tell,
+    /// One way: what nodes counted of a routing trial, passed on by the cell that they follow: to the
+    /// leader, or by the leader to another cell.
+    Outcomes {
+        /// By node.
+        reports: Vec<NodeReport>,
+    },
+    /// About the routing trial.
+    Trial {
+        /// The order or question.
+        ask: TrialAsk,
+    },
+    /// A call whose caller waits for so many milliseconds more; it isn't carried out after that.
+    Within {
+        /// From its sending.
+        ms: u64,
+        /// The call itself.
+        call: Box<CellCall>,
+    },
+}
+
+/// What a cell answers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum CellReply {
+    /// Taken note of.
+    Done,
+    /// What a change came to.
+    Outcome(Outcome),
+    /// A confirmed log index.
+    Index(u64),
+    /// How far a retirement is.
+    Retire(RetireState),
+    /// This cell can't do it now (no leader, cut off, or being left).
+    Unable,
+    /// The answer to `Tell`.
+    Status(CellStatus),
+    /// The routing trial; none when there never was one.
+    Trial(Option<Box<TrialReport>>),
+}
+
+/// How far a store's retirement is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RetireState {
+    /// No such store, or no such order.
+    Unknown,
+    /// The others would be too few.
+    TooFew,
+    /// Under way.
+    Running,
+    /// The store may go.
+    Completed,
+}
