--- /dev/null
+++ b/crates/turn-store/src/tables/calls.rs
@@ -0,0 +1,139 @@
+//! Answering the calls of proxies, cells and other stores.
+use super::StoreTables;
+use crate::prelude::*;
+
+impl StoreTables {
+    /// Answers a call; what it changed is pushed to `log` and must be synced before the answer goes.
+    pub fn call(&mut self, q: StoreCall, now: Duration, log: &mut Vec<Logged>) -> StoreReply {
+        let made_under = match &q {
+            StoreCall::Open(o) => Some(o.version),
+            StoreCall::Find { version, .. }
+            | StoreCall::Close { version, .. }
+            | StoreCall::Write { version, .. } => Some(*version),
+            _ => None,
+        };
+        if let Some(refusal) = made_under.and_then(|v| self.fenced(v)) {
+            return refusal;
+        }
+        match q {
+            StoreCall::Open(o) => self.open(o, now, log),
+            StoreCall::Fetch { ids } => StoreReply::Turns(self.records(&ids)),
+            StoreCall::Find { id, .. } => {
+                let (held, turns) = self.chain(&id, true, now);
+                let caught_up = self.history.is_caught_up();
+                StoreReply::Found { caught_up, held, turns }
+            }
+            StoreCall::Close { record, foreign, settle, .. } => {
+                self.close(record, foreign, settle, now, log)
+            }
+            StoreCall::Write { program, write, .. } => {
+                let outcome = self.write(&program, &write, now, log);
+                let has_complete_history = self.has_complete_history(&program);
+                StoreReply::Written { has_complete_history, outcome }
+            }
+            StoreCall::Note { program, write } => {
+                self.write(&program, &write, now, log);
+                StoreReply::Done
+            }
+            StoreCall::Sync(q) => self.sync(q),
+            // The owner takes it.
+            StoreCall::Learn { .. } => StoreReply::Done,
+            StoreCall::Tell => self.status(),
+        }
+    }
+
+    /// Refuses what was made under another set than the one in force here, and all as long as the set
+    /// doesn't have this store: the call was meant for the disk that was at this address before.
+    pub(super) fn fenced(&self, version: u64) -> Option<StoreReply> {
+        let set = &self.history.set;
+        match version.cmp(&set.version) {
+            std::cmp::Ordering::Less => Some(StoreReply::Stale(set.clone())),
+            std::cmp::Ordering::Greater => Some(StoreReply::Behind),
+            std::cmp::Ordering::Equal if set.find(self.history.me).is_none() => {
+                Some(StoreReply::Unable)
+            }
+            std::cmp::Ordering::Equal => None,
+        }
+    }
+
+    fn open(&mut self, o: OpenCall, now: Duration, log: &mut Vec<Logged>) -> StoreReply {
+        let later = self.hear(&o.claim);
+        let outcome = o.claim.as_ref().map(|w| self.write(&o.program, w, now, log));
+        let view = match outcome {
+            None => ProgramView::default(),
+            Some(_) => self
+                .programs
+                .get(&o.program)
+                .map_or_else(ProgramView::default, |p| p.ledger.view(now, &self.lives)),
+        };
+        let (held, turns) = match &o.prev {
+            None => (Held::No, Vec::new()),
+            Some(id) => self.chain(id, o.want, now),
+        };
+        let has_complete_history = self.has_complete_history(&o.program);
+        StoreReply::Open(OpenReply { has_complete_history, outcome, view, later, held, turns })
+    }
+
+    /// Keeps a turn. Under an epoch that has lost its authority nothing is kept.
+    fn close(
+        &mut self,
+        record: TurnRecord,
+        foreign: Vec<TurnRecord>,
+        settle: Option<LedgerWrite>,
+        now: Duration,
+        log: &mut Vec<Logged>,
+    ) -> StoreReply {
+        if let Some(w) = settle {
+            let outcome = self.write(&record.program, &w, now, log);
+            if !outcome.is_granted() {
+                return StoreReply::Written { has_complete_history: true, outcome };
+            }
+        }
+        for f in foreign {
+            let program = record.program.clone();
+            self.take_logged(Logged::Foreign { program, record: f }, now, log);
+        }
+        self.take_logged(Logged::Turn(record), now, log);
+        StoreReply::Done
+    }
+
+    /// A node spoke; gives back a later life of it, if one is known.
+    fn hear(&mut self, claim: &Option<LedgerWrite>) -> Option<u64> {
+        let Some(LedgerWrite::Claim { attempt, .. }) = claim else { return None };
+        self.lives.saw(attempt.node, attempt.incarnation);
+        self.lives.newest(attempt.node).filter(|n| *n > attempt.incarnation)
+    }
+
+    fn has_complete_history(&self, program: &str) -> bool {
+        self.history.has_complete_history(StoreSet::key_of(program))
+    }
+
+    fn records(&self, ids: &[String]) -> Vec<TurnRecord> {
+        ids.iter().filter_map(|i| self.turns.get(i)).map(|r| r.record.clone()).collect()
+    }
+
+    /// Whether a turn is here, and its chain's turns where they are wanted.
+    fn chain(&self, id: &str, want: bool, now: Duration) -> (Held, Vec<TurnRecord>) {
+        let Some(row) = self.turns.get(id).filter(|r| r.until > now) else {
+            return (Held::No, Vec::new());
+        };
+        let mut ids = row.record.chain.clone();
+        ids.push(id.to_string());
+        let turns = match want {
+            true => self.records(&ids),
+            false => Vec::new(),
+        };
+        (Held::Yes(ids), turns)
+    }
+
+    fn status(&self) -> StoreReply {
+        StoreReply::Status {
+            name: String::new(),
+            turns: self.turns.len() as u64,
+            programs: self.programs.len() as u64,
+            version: self.history.set.version,
+            disk_bytes: 0,
+            fresh: self.history.caught_up.is_none(),
+        }
+    }
+}
