agreement: a follower's return ends the wait for what was sent in vain

Cause: each message that is given up doubles the leader's wait for the next (600 ms to 4.8 s, and a second a megabyte). A follower that was away for long came back in the middle of that wait, answered heartbeats, and got nothing until the wait was over. Change: an answer to a round, where none of the rounds in the contact bound before it was answered, is a return: the failures are forgotten, and what is lacking is sent at once. The gap is between the answered rounds' sending, so that answers which are merely slow are no return.

--- a/crates/agreement/src/core/leader.rs
+++ b/crates/agreement/src/core/leader.rs
@@ -76,14 +76,17 @@
         self.round
     }
 
-    /// A follower answered a round.
-    pub fn round_answered(&mut self, from: u64, round: u64) {
+    /// A follower answered a round. True when it has been away and is back: it answered none of the
+    /// rounds that were sent in `contact_bound` before this one.
+    pub fn round_answered(&mut self, from: u64, round: u64, contact_bound: Duration) -> bool {
         let sent = self.rounds.iter().find(|s| s.round == round).map(|s| s.at);
         let (Some(p), Some(at)) = (self.progress.get_mut(&from), sent) else {
-            return;
+            return false;
         };
+        let last_contact = p.contact.unwrap_or(self.began);
         p.round = p.round.max(round);
         p.contact = p.contact.max(Some(at));
+        at > last_contact + contact_bound
     }
 
     /// When the newest round was sent that a majority answered.
--- a/crates/agreement/src/core/progress.rs
+++ b/crates/agreement/src/core/progress.rs
@@ -85,6 +85,16 @@
         }
     }
 
+    /// The follower was away and is back: what was under way is lost, and its absence is no reason to
+    /// wait longer for the next answer.
+    pub fn returned(&mut self) {
+        self.failures = 0;
+        self.in_flight = None;
+        if let Some(t) = &mut self.transfer {
+            t.sent = t.acknowledged;
+        }
+    }
+
     /// The follower's log is the leader's up to `matched`.
     pub fn accept(&mut self, matched: u64) {
         self.matched = self.matched.max(matched);
--- a/crates/agreement/src/core/replicate.rs
+++ b/crates/agreement/src/core/replicate.rs
@@ -151,8 +151,13 @@
     }
 
     pub(super) fn heartbeat_reply(&mut self, from: u64, round: u64, now: Duration) {
-        if let Some(lead) = &mut self.lead {
-            lead.round_answered(from, round);
+        let bound = self.tuning.contact_bound();
+        let Some(lead) = &mut self.lead else { return };
+        if lead.round_answered(from, round, bound) {
+            if let Some(progress) = self.progress(from) {
+                progress.returned();
+            }
+            self.send_log(from, now);
         }
         self.count(now);
     }
--- a/crates/agreement/tests/snapshots.rs
+++ b/crates/agreement/tests/snapshots.rs
@@ -95,6 +95,30 @@
     assert!(w.node(leader).leads());
 }
 
+/// A follower that is back is sent what it lacks at once, however often that was sent in vain before.
+#[test]
+fn a_follower_that_returns_is_sent_what_it_lacks_at_once() {
+    for away_steps in 20..150 {
+        let (mut w, leader, away) = behind();
+        w.run(away_steps);
+        w.cuts.clear();
+        run_slowly(&mut w, away, Duration::ZERO, 30);
+        let (reached, wanted) = (w.node(away).commit, w.node(leader).commit);
+        assert_eq!(reached, wanted, "600 ms after {away_steps} steps away");
+    }
+}
+
+/// Answers that take longer than the contact bound, each in its turn, are no return.
+#[test]
+fn slow_answers_are_no_return() {
+    let (mut w, _, away) = behind();
+    w.cuts.clear();
+    run_slowly(&mut w, away, Duration::from_millis(450), 400);
+    let offsets = chunks(&w.sent, away);
+    let most = offsets.iter().map(|o| offsets.iter().filter(|p| *p == o).count()).max();
+    assert!(most.is_some_and(|times| times <= 3), "a chunk was sent {most:?} times");
+}
+
 /// A chunk is lost: the transfer goes on from it, and begins not anew.
 #[test]
 fn a_lost_chunk_is_sent_again_and_nothing_else() {
