stand-ins: catch_up shows order and completeness, and bounds no real time

Cause: its six seconds ran on the machine's clock, so that the verdict depended on the load; and the one moment of return that a run had hid the fault. The real processes still prove that what is served is the newest, whole, and that orders work with the returned one in the majority; now also that nothing older is ever served on the way. A guard of 300 s only ends a test that hangs.

--- a/crates/control-cell/tests/catch_up.rs
+++ b/crates/control-cell/tests/catch_up.rs
@@ -35,6 +35,7 @@
             let absence = Absence { returns_after, snapshot_every, ..three_hundred_changes() };
             let took = World::play(&absence);
             assert!(took.is_some_and(|t| t < CATCH_UP), "{took:?} instead of 6 s: {absence:?}");
+            assert!(took >= Some(least(&absence)), "{took:?} is less than its bytes take");
             worst = worst.max(took.unwrap_or(CATCH_UP));
         }
     }
@@ -50,6 +51,11 @@
     FIXED + Duration::from_secs_f64(bytes as f64 * WASTE / absence.bytes_per_s)
 }
 
+/// The newest passed the link whole: nothing was served that wasn't carried.
+fn least(absence: &Absence) -> Duration {
+    Duration::from_secs_f64(absence.large as f64 / absence.bytes_per_s)
+}
+
 fn generated(seed: u64) -> Absence {
     let mut draw = fastrand::Rng::with_seed(seed);
     Absence {
@@ -71,5 +77,6 @@
         let took = World::play(&absence);
         let most = allowed(&absence);
         assert!(took.is_some_and(|t| t < most), "{took:?} instead of {most:?}: {absence:?}");
+        assert!(took >= Some(least(&absence)), "{took:?} is less than its bytes take");
     }
 }
--- a/crates/stand-ins/tests/catch_up.rs
+++ b/crates/stand-ins/tests/catch_up.rs
@@ -1,6 +1,9 @@
 //! A core member that was away for hundreds of changes comes back over a slow link: three cells over
 //! loopback, each in a runtime of its own so that one can be stopped whole, and a link that carries a
 //! stated number of bytes a second.
+//!
+//! This shows order and completeness with real sockets and disks, however busy the machine is. How long
+//! it may take is held by `control-cell/tests/catch_up.rs`, in virtual time.
 use control_cell::{run_cell_on, CellListeners};
 use node_base::settings::FEED_PORT;
 use stand_ins::prelude::*;
@@ -19,8 +22,8 @@
 /// The large configuration takes a second over the link, longer than the leader waited for an answer
 /// before it sent its snapshot again.
 const LINK_BYTES_PER_S: f64 = 1_500_000.0;
-/// A member counts as lost for this long after its return.
-const CATCH_UP: Duration = Duration::from_secs(6);
+/// Ends a test that hangs; no verdict on how long anything may take.
+const HANGS: Duration = Duration::from_secs(300);
 
 fn settings(ip: &str, dir: &std::path::Path, cloud: SocketAddr) -> NodeSettings {
     let data = dir.join(ip);
@@ -132,13 +135,12 @@
     });
 }
 
-async fn until(what: &str, within: Duration, mut ok: impl AsyncFnMut() -> bool) -> Duration {
+async fn until(what: &str, mut ok: impl AsyncFnMut() -> bool) {
     let began = Instant::now();
     while !ok().await {
-        assert!(began.elapsed() < within, "not within {within:?}: {what}");
+        assert!(began.elapsed() < HANGS, "hangs: {what}");
         tokio::task::yield_now().await;
     }
-    began.elapsed()
 }
 
 async fn put(ip: &str, base: u64, body: &str) -> u16 {
@@ -148,11 +150,15 @@
     call(&at, "PUT", "/config", &h, body.as_bytes()).await.map_or(0, |a| a.status)
 }
 
-/// Whether the cell at `ip` serves exactly `body` as the newest configuration.
-async fn serves(ip: &str, body: &str) -> bool {
+/// The newest configuration as the cell at `ip` serves it, if it does.
+async fn served(ip: &str) -> Option<Vec<u8>> {
     let at = format!("{ip}:{CONTROL}");
-    let got = call(&at, "GET", "/config", &[("host", "c")], b"").await;
-    got.is_some_and(|a| a.status == 200 && a.body == body.as_bytes())
+    let got = call(&at, "GET", "/config", &[("host", "c")], b"").await?;
+    (got.status == 200).then(|| got.body.to_vec())
+}
+
+async fn serves(ip: &str, body: &str) -> bool {
+    served(ip).await.is_some_and(|got| got == body.as_bytes())
 }
 
 /// Puts each version on top of the one before, asking again until it is acknowledged, at both cells in
@@ -162,7 +168,7 @@
     for v in versions {
         body = config(v, bytes);
         let mut turn = 0;
-        until("a change is acknowledged", Duration::from_secs(10), async || {
+        until("a change is acknowledged", async || {
             turn += 1;
             let ip = ["127.0.11.1", "127.0.11.2"][turn % 2];
             put(ip, v - 1, &body).await == 200
@@ -186,7 +192,7 @@
     let _second = start("127.0.11.2", direct("127.0.11.2"));
     let mut third = start(THIRD, direct(THIRD));
     let body = put_all(1..=1, SMALL).await;
-    until("the third cell serves it", CATCH_UP, async || serves(THIRD, &body).await).await;
+    until("the third cell serves it", async || serves(THIRD, &body).await).await;
 
     // The third is away for all the changes; the newest is large.
     third.stop();
@@ -194,22 +200,27 @@
     let newest = put_all(CHANGES + 1..=CHANGES + 1, LARGE).await;
 
     // It comes back behind a slow link, and must know the newest without a majority's further help:
-    // one of the other two is lost as soon as the time for catching up is over.
+    // one of the other two is lost later.
     let behind = direct(THIRD_BEHIND);
     slow_link(&direct(THIRD), &behind, LINK_BYTES_PER_S).await;
     let _back = start(THIRD, behind);
-    let took = until("it serves the newest", CATCH_UP, async || serves(THIRD, &newest).await).await;
-    println!("served the newest after {took:?}");
+    // Whatever it serves meanwhile is the newest: nothing older, and nothing in part.
+    until("it serves the newest", async || match served(THIRD).await {
+        Some(body) => {
+            assert!(body == newest.as_bytes(), "served {} bytes of something older", body.len());
+            true
+        }
+        None => false,
+    })
+    .await;
 
     // Orders still work: at the two, and with the returned one in the place of a lost one.
     let next = config(CHANGES + 2, SMALL);
-    until("an order at the returned one", CATCH_UP, async || {
-        put(THIRD, CHANGES + 1, &next).await == 200
-    })
-    .await;
+    until("an order at the returned one", async || put(THIRD, CHANGES + 1, &next).await == 200)
+        .await;
     first.stop();
     let last = config(CHANGES + 3, SMALL);
-    until("an order with the returned one in the majority", CATCH_UP, async || {
+    until("an order with the returned one in the majority", async || {
         put(THIRD, CHANGES + 2, &last).await == 200
     })
     .await;
