--- a/crates/inner-protocol/src/cells/mod.rs
+++ b/crates/inner-protocol/src/cells/mod.rs
@@ -1,5 +1,4 @@
 //! Between cells: consensus messages, joining, forwarding to the leader, zone tables.
-#![deny(missing_docs)]
 mod calls;
 mod changes;
 mod log;
--- a/crates/inner-protocol/src/feed.rs
+++ b/crates/inner-protocol/src/feed.rs
@@ -6,12 +6,19 @@
 /// An engine as the platform's list tells it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineEntry {
+    /// The platform's name for it.
     pub id: String,
+    /// The service that it answers for.
     pub service: String,
+    /// Where it answers.
     pub addr: String,
+    /// Its zone.
     pub zone: String,
+    /// Requests that it works on at once.
     pub slots: u32,
+    /// It leaves: nothing new is sent to it.
     pub draining: bool,
+    /// How long it has yet to warm up, as the list says.
     pub cold_ms: u64,
 }
 
@@ -19,34 +26,51 @@
 /// log index that made the holder, `seq` counts that holder's tables.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ZoneTable {
+    /// Which zone.
     pub zone: String,
+    /// The log index that made its holder.
     pub epoch: u64,
+    /// Counts that holder's tables.
     pub seq: u64,
+    /// All that are listed.
     pub engines: Vec<EngineEntry>,
 }
 
+/// What the feed tells.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FeedItem {
     /// The operator's configuration, as it was sent, by log index.
     Config {
+        /// The log index that brought it.
         index: u64,
+        /// The operator's number for it.
         version: u64,
+        /// As it was sent.
         body: ByteBuf,
     },
     /// The same as a difference to the configuration `base` that this feed told last.
     ConfigPatch {
+        /// The log index that brought it.
         index: u64,
+        /// The operator's number for it.
         version: u64,
+        /// The version that the patch is made from.
         base: u64,
+        /// What differs.
         patch: Patch,
     },
+    /// The store set in force.
     Stores(StoreSet),
+    /// The engines of one zone.
     Zone(ZoneTable),
     /// Addresses of the cells, by log index, and in the same order the zone of each ("" where it
     /// isn't known yet).
     Cells {
+        /// The log index of the membership.
         index: u64,
+        /// Where the cells answer.
         addrs: Vec<String>,
+        /// Their zones, in the same order.
         #[serde(default)]
         zones: Vec<String>,
     },
@@ -56,7 +80,9 @@
     Beat,
     /// The routing trial that runs, or the last one, by log index, without its evidence.
     Trial {
+        /// The log index that brought it.
         index: u64,
+        /// As agreed on.
         trial: Box<TrialRecord>,
     },
 }
@@ -64,6 +90,7 @@
 /// What a follower needs of the feed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Topics {
+    /// Everything.
     #[default]
     All,
     /// The store set and the cells: no configurations, no engines.
@@ -96,28 +123,39 @@
 /// One item with its number in this cell's feed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Numbered {
+    /// Counts the items of one feed, without a gap.
     pub no: u64,
+    /// The item.
     pub item: FeedItem,
 }
 
+/// What a follower says to the cell that it follows.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum FollowMsg {
     /// Opens the feed: `feed` and `no` name the place to go on from, when the cell still has it.
     Follow {
+        /// The follower's node name.
         name: String,
+        /// The feed that it followed before; 0 for none.
         feed: u64,
+        /// The last item that it has.
         no: u64,
+        /// What it needs.
         #[serde(default)]
         topics: Topics,
         /// It reads `ConfigPatch`.
+        /// Whether it does.
         #[serde(default)]
         patches: bool,
     },
+    /// A store's report about itself.
     Announce {
+        /// The report.
         status: StoreStatus,
     },
     /// What proxies counted of a routing trial, the newest report of each life.
     Outcomes {
+        /// By node and life.
         reports: Vec<NodeReport>,
     },
 }
@@ -134,11 +172,14 @@
     }
 }
 
+/// What a cell says to its followers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum FeedMsg {
     /// The number of the feed: a new one each life of a cell.
     Open {
+        /// The number.
         feed: u64,
     },
+    /// Items in their order.
     Items(Vec<Numbered>),
 }
--- a/crates/inner-protocol/src/patch/mod.rs
+++ b/crates/inner-protocol/src/patch/mod.rs
@@ -8,6 +8,7 @@
     /// Bytes of the old text: from, length.
     #[serde(rename = "o")]
     Old(u32, u32),
+    /// Bytes that the old text doesn't have.
     #[serde(rename = "n")]
     New(ByteBuf),
 }
@@ -15,8 +16,10 @@
 /// Invariant: applied to the text it was made from it gives a text whose digest is `digest`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Patch {
+    /// Joined they are the new text.
     #[serde(rename = "p")]
     pub pieces: Vec<Piece>,
+    /// Of the new text.
     #[serde(rename = "d")]
     pub digest: u64,
 }
@@ -32,6 +35,7 @@
 }
 
 impl Patch {
+    /// What leads from one text to the other.
     pub fn between(old: &[u8], new: &[u8]) -> Self {
         let places: HashMap<&[u8], usize> = records(old).map(|(from, r)| (r, from)).collect();
         let mut pieces: Vec<Piece> = Vec::new();
--- a/crates/node-base/src/disk/mod.rs
+++ b/crates/node-base/src/disk/mod.rs
@@ -1,6 +1,5 @@
 //! On disk: a log in segments, with snapshots beside it. What holds after a crash at each step
 //! stands in `docs/disk.md`.
-#![deny(missing_docs)]
 mod chain;
 mod format;
 mod ops;
--- a/crates/node-base/src/error.rs
+++ b/crates/node-base/src/error.rs
@@ -10,17 +10,44 @@
 pub enum NodeError {
     /// A setting is missing or means nothing.
     #[snafu(display("{file}: {field}: {reason}"))]
-    BadSettings { file: String, field: String, reason: String },
+    BadSettings {
+        /// The settings file.
+        file: String,
+        /// The field's name in it, with its table; `(file)` where it is about the file as a whole.
+        field: String,
+        /// What is wrong, to be read after the field's name.
+        reason: String,
+    },
     /// The system refused; `what` is the file or address.
     #[snafu(display("{what}: {source}"))]
-    Io { what: String, source: std::io::Error },
+    Io {
+        /// What was used.
+        what: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
     /// Data that had been synced can't be read any more.
     #[snafu(display("damaged data in {file} at byte {offset}: {reason}"))]
-    Damaged { file: String, offset: u64, reason: String },
+    Damaged {
+        /// The file.
+        file: String,
+        /// Where the first unreadable record begins.
+        offset: u64,
+        /// Why it can't be read.
+        reason: String,
+    },
     /// Data of another version of this program.
     #[snafu(display("{file}: format version {version} is not known to this program"))]
-    UnknownFormat { file: String, version: u32 },
+    UnknownFormat {
+        /// The file.
+        file: String,
+        /// The version that its header names.
+        version: u32,
+    },
     /// Anything else.
     #[snafu(display("{reason}"))]
-    Other { reason: String },
+    Other {
+        /// What happened.
+        reason: String,
+    },
 }
--- a/crates/node-base/src/links/mod.rs
+++ b/crates/node-base/src/links/mod.rs
@@ -1,7 +1,6 @@
 //! Links between the system's own processes: CBOR frames with a length, numbered so that answers
 //! may come in any order. On every connection reading and writing run side by side, each with a
 //! bound on what may wait.
-#![deny(missing_docs)]
 mod caller;
 mod frames;
 mod server;
--- a/crates/node-base/src/settings/check.rs
+++ b/crates/node-base/src/settings/check.rs
@@ -64,6 +64,7 @@
     }
 }
 
+/// Reads and checks a settings file.
 pub fn read_settings(path: &str) -> NodeResult<NodeSettings> {
     let text = std::fs::read_to_string(path).map_err(|e| NodeError::BadSettings {
         file: path.into(),
@@ -73,6 +74,7 @@
     parse_settings(path, &text)
 }
 
+/// Checks the text of a settings file; `path` is named in errors.
 pub fn parse_settings(path: &str, text: &str) -> NodeResult<NodeSettings> {
     let ck = Checker { file: path };
     let raw: RawSettings = match toml::from_str(text) {
