doctor, inner-protocol: a cell's status has named fields; placed stores are counted

Cause: CellStatus carried bare tuples with the store's state as text. The doctor counted stores whose text is 'Seated', a name that was changed to 'Placed' since: it told every sound system that no store has a seat. Its test built the same old text and didn't notice. Change: StoreSummary and ZoneSummary with a typed state; StoreFact and StoreAnswer in the doctor. The status of an older cell isn't read by this doctor. Tests: the text in findings.rs is the typed state now; three rows more (a store that is leaving, twice, and one under an older set).

--- a/crates/control-cell/src/actor/status.rs
+++ b/crates/control-cell/src/actor/status.rs
@@ -1,6 +1,7 @@
 //! A cell's status, for those who look after it.
 use super::run::Actor;
 use crate::prelude::*;
+use inner_protocol::cells::{StoreSummary, ZoneSummary};
 
 impl Actor {
     /// This cell's own view; it needs no majority.
@@ -30,14 +31,22 @@
                 .stores
                 .stores
                 .iter()
-                .map(|s| (s.name.clone(), format!("{:?}", s.state), s.addr.clone()))
+                .map(|s| StoreSummary {
+                    name: s.name.clone(),
+                    state: s.state,
+                    addr: s.addr.clone(),
+                })
                 .collect(),
             zones: self
                 .desk
                 .state()
                 .holders
                 .iter()
-                .map(|(a, id)| (a.clone(), name(id), self.zones.engine_count(a)))
+                .map(|(zone, id)| ZoneSummary {
+                    zone: zone.clone(),
+                    holder: name(id),
+                    engines: self.zones.engine_count(zone),
+                })
                 .collect(),
         }
     }
--- a/crates/doctor/src/facts/mod.rs
+++ b/crates/doctor/src/facts/mod.rs
@@ -10,13 +10,24 @@
     pub clock_off: Duration,
 }
 
+/// What a store says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreAnswer {
+    /// The version of the set that it works under.
+    pub version: u64,
+    /// It lost its disk, and hasn't caught up since.
+    pub fresh: bool,
+    /// How many it holds.
+    pub turns: u64,
+}
+
+/// What was seen of a store.
 #[derive(Debug, Clone)]
 pub struct StoreFact {
-    pub name: String,
-    pub state: String,
-    pub addr: String,
-    /// The version of its set, whether it lost its disk, and its turns.
-    pub status: Option<(u64, bool, u64)>,
+    /// What the cells say of it.
+    pub summary: StoreSummary,
+    /// None when it didn't answer.
+    pub answer: Option<StoreAnswer>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -50,7 +61,7 @@
         .map(|s| settings.inner_addr(&s.ip().to_string(), CELL_PORT))
         .collect();
     let mut seen: BTreeSet<String> = todo.iter().cloned().collect();
-    let mut stores: BTreeMap<String, (String, String)> = BTreeMap::new();
+    let mut stores: BTreeMap<String, StoreSummary> = BTreeMap::new();
     while let Some(addr) = todo.pop_front() {
         let before = unix_ms();
         let status = match Caller::new(addr.clone()).call(&CellCall::Tell, WITHIN).await {
@@ -66,18 +77,19 @@
                     todo.push_back(a.clone());
                 }
             }
-            for (name, state, addr) in &t.stores {
-                stores.insert(name.clone(), (state.clone(), addr.clone()));
-            }
+            stores.extend(t.stores.iter().map(|s| (s.name.clone(), s.clone())));
         }
         f.cells.push(CellFact { addr, status, clock_off });
     }
-    for (name, (state, addr)) in stores {
-        let status = match Caller::new(addr.clone()).call(&StoreCall::Tell, WITHIN).await {
-            Ok(StoreReply::Status { version, fresh, turns, .. }) => Some((version, fresh, turns)),
+    for summary in stores.into_values() {
+        let caller = Caller::new(summary.addr.clone());
+        let answer = match caller.call(&StoreCall::Tell, WITHIN).await {
+            Ok(StoreReply::Status { version, fresh, turns, .. }) => {
+                Some(StoreAnswer { version, fresh, turns })
+            }
             _ => None,
         };
-        f.stores.push(StoreFact { name, state, addr, status });
+        f.stores.push(StoreFact { summary, answer });
     }
     if let Some(cloud) = &settings.cloud {
         for zone in settings.zones.keys() {
--- a/crates/doctor/src/findings/mod.rs
+++ b/crates/doctor/src/findings/mod.rs
@@ -77,7 +77,7 @@
                 "with fewer than three the loss of one stops every change; add core machines",
             );
         }
-        for (zone, holder, engines) in &t.zones {
+        for ZoneSummary { zone, holder, engines } in &t.zones {
             if holder.is_none() {
                 say(zone, "no living cell holds this zone".into(), "see that a leader is there");
             }
@@ -101,37 +101,38 @@
             );
         }
     }
-    let set = f.stores.iter().filter_map(|s| s.status).map(|(version, _, _)| version).max();
-    let counted = f.stores.iter().filter(|s| s.state == "Seated").count();
-    if counted < 3 && !f.stores.is_empty() {
+    let newest_set = f.stores.iter().filter_map(|s| s.answer).map(|a| a.version).max();
+    let placed = f.stores.iter().filter(|s| s.summary.state == StoreState::Placed).count();
+    if placed < 3 && !f.stores.is_empty() {
         say(
             "stores",
-            format!("{counted} stores have a seat"),
+            format!("programs are assigned to {placed} stores"),
             "with fewer than three the loss of one stops turns; add storage machines",
         );
     }
     for s in &f.stores {
-        match s.status {
+        let StoreSummary { name, state, addr } = &s.summary;
+        match s.answer {
             None => say(
-                &s.name,
-                format!("the store at {} doesn't answer", s.addr),
+                name,
+                format!("the store at {addr} doesn't answer"),
                 "see whether turn-store runs there; the others go on, and fill the one that replaces it",
             ),
-            Some((_, true, _)) => say(
-                &s.name,
+            Some(answer) if answer.fresh => say(
+                name,
                 "lost its disk and is being filled".into(),
                 "wait until it counts; don't take another store away before",
             ),
-            Some((n, _, _)) if Some(n) < set => say(
-                &s.name,
-                format!("works under store set {n}"),
+            Some(answer) if Some(answer.version) < newest_set => say(
+                name,
+                format!("works under store set {}", answer.version),
                 "ask again in a second; else see its link to the cells",
             ),
             Some(_) => {}
         }
-        if s.state == "Leaving" {
+        if *state == StoreState::Leaving {
             say(
-                &s.name,
+                name,
                 "is being emptied".into(),
                 "GET /retire/NODE tells when it may be taken away",
             );
--- a/crates/doctor/tests/findings.rs
+++ b/crates/doctor/tests/findings.rs
@@ -19,16 +19,14 @@
             config_version: 4,
             members: vec!["c1".into(), "c2".into(), "c3".into()],
             voters: vec!["c1".into(), "c2".into(), "c3".into()],
-            zones: vec![("a".into(), Some("c1".into()), 2)],
+            zones: vec![ZoneSummary { zone: "a".into(), holder: Some("c1".into()), engines: 2 }],
             ..CellStatus::default()
         }),
         clock_off: Duration::ZERO,
     };
     let store = |name: &str| StoreFact {
-        name: name.into(),
-        state: "Seated".into(),
-        addr: String::new(),
-        status: Some((1, false, 7)),
+        summary: StoreSummary { name: name.into(), state: StoreState::Placed, addr: String::new() },
+        answer: Some(StoreAnswer { version: 1, fresh: false, turns: 7 }),
     };
     Facts {
         cells: ["c1", "c2", "c3"].map(cell).to_vec(),
@@ -46,7 +44,7 @@
 #[test]
 fn each_common_fault_is_found_with_a_remedy() {
     type Break = fn(&mut Facts);
-    let rows: [(Break, &str); 12] = [
+    let rows: [(Break, &str); 15] = [
         (|f| f.cells[2].status = None, "no cell answers"),
         (|f| f.cells[1].clock_off = Duration::from_secs(9), "time of day"),
         (
@@ -56,7 +54,7 @@
         (|f| f.cells[0].status.as_mut().unwrap().leader = Some("c2".into()), "several leaders"),
         (|f| f.cells[1].status.as_mut().unwrap().config_version = 3, "configuration 3 of 4"),
         (
-            |f| f.cells.iter_mut().for_each(|c| c.status.as_mut().unwrap().zones[0].1 = None),
+            |f| f.cells.iter_mut().for_each(|c| c.status.as_mut().unwrap().zones[0].holder = None),
             "no living cell",
         ),
         (
@@ -71,8 +69,11 @@
             },
             "list can't be read",
         ),
-        (|f| f.stores[0].status = None, "doesn't answer"),
-        (|f| f.stores[0].status = Some((1, true, 0)), "lost its disk"),
+        (|f| f.stores[0].answer = None, "doesn't answer"),
+        (|f| f.stores[0].answer.as_mut().unwrap().fresh = true, "lost its disk"),
+        (|f| f.stores[0].summary.state = StoreState::Leaving, "assigned to 2 stores"),
+        (|f| f.stores[0].summary.state = StoreState::Leaving, "is being emptied"),
+        (|f| f.stores[0].answer.as_mut().unwrap().version = 0, "works under store set 0"),
         (|f| f.disk.as_mut().unwrap().damage.push("bad record".into()), "bad record"),
         (|f| f.disk.as_mut().unwrap().used = 90, "MB are used"),
     ];
--- a/crates/inner-protocol/src/cells/mod.rs
+++ b/crates/inner-protocol/src/cells/mod.rs
@@ -12,5 +12,5 @@
 pub use log::{Body, Entry, LogPosition, Snapshot, SnapshotChunk};
 pub use membership::{Member, Membership};
 pub use messages::Msg;
-pub use status::CellStatus;
+pub use status::{CellStatus, StoreSummary, ZoneSummary};
 pub use trial::{TrialAsk, TrialReport};
--- a/crates/inner-protocol/src/cells/status.rs
+++ b/crates/inner-protocol/src/cells/status.rs
@@ -1,5 +1,28 @@
 //! What `doctor` is answered.
 use crate::prelude::*;
+use crate::stores::StoreState;
+
+/// A store of the set in force, as a cell knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreSummary {
+    /// Its machine's name.
+    pub name: String,
+    /// Whether programs are assigned to it.
+    pub state: StoreState,
+    /// Where it answers.
+    pub addr: String,
+}
+
+/// A zone, as a cell knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneSummary {
+    /// Its name.
+    pub zone: String,
+    /// The cell that holds it, by name.
+    pub holder: Option<String>,
+    /// Engines known in it.
+    pub engines: usize,
+}
 
 /// What a cell reports of itself to `doctor`.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -21,12 +44,12 @@
     /// Names of those members whose majority decides.
     #[serde(default)]
     pub voters: Vec<String>,
-    /// Name, state and address.
-    pub stores: Vec<(String, String, String)>,
+    /// The stores of the set.
+    pub stores: Vec<StoreSummary>,
     /// Addresses of the members.
     pub cells: Vec<String>,
     /// Its time of day.
     pub unix_ms: u64,
-    /// Zone, holder by name, and engines known in it.
-    pub zones: Vec<(String, Option<String>, usize)>,
+    /// The zones that have been given a holder.
+    pub zones: Vec<ZoneSummary>,
 }
