--- a/crates/control-cell/src/actor/calls.rs
+++ b/crates/control-cell/src/actor/calls.rs
@@ -17,7 +17,6 @@
                     Some(_) => self.confirm_for(Reader::Order { change, waiting }),
                 };
             }
-            CellCall::Confirm if leads => return self.confirm_for(Reader::Index(waiting)),
             CellCall::Retire { store, ask_only } if leads => {
                 return self.confirm_for(Reader::Retire { store, ask_only, waiting });
             }
@@ -38,7 +37,7 @@
             | CellCall::Trial { .. }
             | CellCall::ReadIndex
             | CellCall::Join { .. } => self.forward(call, waiting),
-            CellCall::Confirm | CellCall::Announce { .. } | CellCall::Within { .. } => {
+            CellCall::Announce { .. } | CellCall::Within { .. } => {
                 waiting.answer(CellReply::Unable);
             }
             CellCall::Leave { id } => {
--- a/crates/control-cell/src/actor/carry.rs
+++ b/crates/control-cell/src/actor/carry.rs
@@ -147,7 +147,7 @@
         let c = self.links.caller(&addr);
         let q = self.queue.clone();
         tokio::spawn(async move {
-            let call = within_call(within, CellCall::Confirm);
+            let call = within_call(within, CellCall::ReadIndex);
             let index = match c.call::<_, CellReply>(&call, within).await {
                 Ok(CellReply::Index(i)) => Some(i),
                 _ => None,
--- a/crates/inner-protocol/src/cells/calls.rs
+++ b/crates/inner-protocol/src/cells/calls.rs
@@ -16,7 +16,8 @@
         /// The message.
         msg: Msg,
     },
-    /// A cell that will join asks for the newest agreed index, confirmed by a majority.
+    /// The index that a reader must have applied, confirmed by a majority; passed on to the leader. Asked
+    /// for a reader elsewhere, and by a cell that will join.
     ReadIndex,
     /// A cell asks to be taken in.
     Join {
@@ -36,8 +37,6 @@
         /// The change.
         change: Change,
     },
-    /// Confirms with a majority; answered with the index a reader must have applied.
-    Confirm,
     /// A store's report about itself.
     Announce {
         /// The report.
