stand-ins: the tests over real sockets share one network of machines, with free ports

Cause: catch_up, routing_trial and whole_path wrote the same settings each in its own way, on fixed addresses and ports: two runs at the same time on one machine met.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -2,5 +2,6 @@
 //! also the operator. For tests only.
 pub mod client;
 pub mod engine;
+pub mod machines;
 pub mod platform;
 pub mod prelude;
--- a/crates/stand-ins/tests/catch_up.rs
+++ b/crates/stand-ins/tests/catch_up.rs
@@ -5,15 +5,18 @@
 //! This shows order and completeness with real sockets and disks, however busy the machine is. How long
 //! it may take is held by `control-cell/tests/catch_up.rs`, in virtual time.
 use control_cell::{run_cell_on, CellListeners};
-use node_base::settings::FEED_PORT;
+use node_base::settings::{CELL_PORT, FEED_PORT};
 use stand_ins::prelude::*;
+use std::sync::LazyLock;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-const INTERNAL: u16 = 27_480;
-const CONTROL: u16 = 28_244;
+static NET: LazyLock<Network> = LazyLock::new(|| Network::new("catch-up"));
+
+const FIRST: u8 = 1;
+const SECOND: u8 = 2;
 /// Where the third cell is known to the others, and where it listens behind the slow link.
-const THIRD: &str = "127.0.11.3";
-const THIRD_BEHIND: &str = "127.0.11.13";
+const THIRD: u8 = 3;
+const THIRD_BEHIND: u8 = 13;
 
 const CHANGES: u64 = 300;
 /// Bytes of the small configurations and of the newest one.
@@ -25,21 +28,10 @@
 /// Ends a test that hangs; no verdict on how long anything may take.
 const HANGS: Duration = Duration::from_secs(300);
 
-fn settings(ip: &str, dir: &std::path::Path, cloud: SocketAddr) -> NodeSettings {
-    let data = dir.join(ip);
-    let text = format!(
-        "nodeName = \"core-{ip}\"\nmachineClass = \"core\"\nipAddress = \"{ip}\"\nzone = \"a\"\n\
-         internalPortRange = [{INTERNAL},{}]\nfirstStart = true\n\
-         seedAddresses = [\"127.0.11.1:{CONTROL}\", \"127.0.11.2:{CONTROL}\", \"{THIRD}:{CONTROL}\"]\n\
-         dataDirectory = \"{}\"\n[zones]\na = \"r\"\n[listenAddresses]\ncontrol = \"{ip}:{CONTROL}\"\n\
-         [limits]\nmemoryMb = 256\nfileDescriptors = 2000\ndiskMb = 64\n\
-         [cloudApi]\naddress = \"{cloud}\"\nratePerS = 40.0\nlagMs = 10\n",
-        INTERNAL + 15,
-        data.display()
-    );
-    let file = dir.join(format!("{ip}.toml"));
-    std::fs::write(&file, text).unwrap();
-    node_base::settings::read_settings(&file.display().to_string()).unwrap()
+fn settings(host: u8, cloud: SocketAddr) -> NodeSettings {
+    let name = &format!("core-{host}");
+    let (class, zone, zones, seeds) = ("core", "a", &["a"], &[FIRST, SECOND, THIRD]);
+    NET.settings(&Machine { name, class, host, zone, zones, seeds, cloud })
 }
 
 /// A valid configuration of about `bytes` bytes.
@@ -75,7 +67,7 @@
                     peers: TcpListener::bind(&peers).await.unwrap(),
                     feed: TcpListener::bind(settings.own_addr(FEED_PORT)).await.unwrap(),
                     control: Some(
-                        TcpListener::bind((settings.ip.as_str(), CONTROL)).await.unwrap(),
+                        TcpListener::bind(settings.listen.control.unwrap()).await.unwrap(),
                     ),
                 };
                 tokio::select! {
@@ -143,22 +135,22 @@
     }
 }
 
-async fn put(ip: &str, base: u64, body: &str) -> u16 {
+async fn put(host: u8, base: u64, body: &str) -> u16 {
     let base = base.to_string();
     let h = [("host", "c"), ("if-match", base.as_str()), ("content-type", "application/json")];
-    let at = format!("{ip}:{CONTROL}");
+    let at = NET.control(host);
     call(&at, "PUT", "/config", &h, body.as_bytes()).await.map_or(0, |a| a.status)
 }
 
-/// The newest configuration as the cell at `ip` serves it, if it does.
-async fn served(ip: &str) -> Option<Vec<u8>> {
-    let at = format!("{ip}:{CONTROL}");
+/// The newest configuration as the cell of `host` serves it, if it does.
+async fn served(host: u8) -> Option<Vec<u8>> {
+    let at = NET.control(host);
     let got = call(&at, "GET", "/config", &[("host", "c")], b"").await?;
     (got.status == 200).then(|| got.body.to_vec())
 }
 
-async fn serves(ip: &str, body: &str) -> bool {
-    served(ip).await.is_some_and(|got| got == body.as_bytes())
+async fn serves(host: u8, body: &str) -> bool {
+    served(host).await.is_some_and(|got| got == body.as_bytes())
 }
 
 /// Puts each version on top of the one before, asking again until it is acknowledged, at both cells in
@@ -170,8 +162,8 @@
         let mut turn = 0;
         until("a change is acknowledged", async || {
             turn += 1;
-            let ip = ["127.0.11.1", "127.0.11.2"][turn % 2];
-            put(ip, v - 1, &body).await == 200
+            let host = [FIRST, SECOND][turn % 2];
+            put(host, v - 1, &body).await == 200
         })
         .await;
     }
@@ -180,16 +172,13 @@
 
 #[tokio::test]
 async fn a_member_that_was_away_for_hundreds_of_changes_follows_again() {
-    let dir = std::env::temp_dir().join(format!("spokebank-catch-up-{}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&dir);
-    std::fs::create_dir_all(&dir).unwrap();
-    let cloud = serve_platform("127.0.11.50:0", Default::default()).await.unwrap();
-    let direct = |ip: &str| format!("{ip}:{INTERNAL}");
-    let start = |ip: &str, peers: String| Cell::start(settings(ip, &dir, cloud), peers);
+    let cloud = serve_platform(&NET.outside(50), Default::default()).await.unwrap();
+    let direct = |host: u8| NET.inner(host, CELL_PORT);
+    let start = |host: u8, peers: String| Cell::start(settings(host, cloud), peers);
 
     // All three agree on the first configuration.
-    let mut first = start("127.0.11.1", direct("127.0.11.1"));
-    let _second = start("127.0.11.2", direct("127.0.11.2"));
+    let mut first = start(FIRST, direct(FIRST));
+    let _second = start(SECOND, direct(SECOND));
     let mut third = start(THIRD, direct(THIRD));
     let body = put_all(1..=1, SMALL).await;
     until("the third cell serves it", async || serves(THIRD, &body).await).await;
@@ -224,6 +213,6 @@
         put(THIRD, CHANGES + 2, &last).await == 200
     })
     .await;
-    assert!(serves("127.0.11.2", &last).await && serves(THIRD, &last).await);
-    let _ = std::fs::remove_dir_all(&dir);
+    assert!(serves(SECOND, &last).await && serves(THIRD, &last).await);
+    let _ = std::fs::remove_dir_all(&NET.dir);
 }
--- a/crates/stand-ins/tests/routing_trial.rs
+++ b/crates/stand-ins/tests/routing_trial.rs
@@ -3,37 +3,17 @@
 use request_proxy::Running;
 use routing_trial::prelude::{arm_of, Arm, Breach};
 use stand_ins::prelude::*;
+use std::sync::LazyLock;
 use trial_tool::prelude::{ask_cells, CellReply, TrialAsk, TrialReport};
 
-const PORTS: u16 = 27_480;
-const FRONTS: [&str; 2] = ["127.0.10.30:28149", "127.0.10.31:28149"];
-const CONTROL: &str = "127.0.10.1:28144";
+static NET: LazyLock<Network> = LazyLock::new(|| Network::new("trial"));
 
-fn settings(
-    name: &str,
-    class: &str,
-    ip: &str,
-    zone: &str,
-    dir: &Path,
-    cloud: SocketAddr,
-) -> NodeSettings {
-    let listen = match class {
-        "front" => format!("front = \"{ip}:28149\"\nreadiness = \"{ip}:28141\"\n"),
-        "core" => format!("control = \"{ip}:28144\"\n"),
-        _ => String::new(),
-    };
-    let text = format!(
-        "nodeName = \"{name}\"\nmachineClass = \"{class}\"\nipAddress = \"{ip}\"\nzone = \"{zone}\"\n\
-         internalPortRange = [{PORTS},{}]\nseedAddresses = [\"127.0.10.1:28144\"]\nfirstStart = true\n\
-         dataDirectory = \"{}\"\n[zones]\na = \"r\"\nb = \"r\"\nc = \"r\"\n[listenAddresses]\n{listen}\
-         [limits]\nmemoryMb = 256\nfileDescriptors = 2000\ndiskMb = 64\n\
-         [cloudApi]\naddress = \"{cloud}\"\nratePerS = 40.0\nlagMs = 10\n",
-        PORTS + 15,
-        dir.join(name).display()
-    );
-    let file = dir.join(format!("{name}.toml"));
-    std::fs::write(&file, text).unwrap();
-    node_base::settings::read_settings(&file.display().to_string()).unwrap()
+const CORE: u8 = 1;
+const FRONTS: [u8; 2] = [30, 31];
+
+fn settings(name: &str, class: &str, host: u8, zone: &str, cloud: SocketAddr) -> NodeSettings {
+    let (zones, seeds) = (&["a", "b", "c"], &[CORE]);
+    NET.settings(&Machine { name, class, host, zone, zones, seeds, cloud })
 }
 
 fn config() -> String {
@@ -83,7 +63,7 @@
     if let Some(p) = prev {
         h.push((names::PREVIOUS, p));
     }
-    call(FRONTS[front], "POST", "/t/x", &h, b"said").await.unwrap()
+    call(&NET.front(FRONTS[front]), "POST", "/t/x", &h, b"said").await.unwrap()
 }
 
 async fn status(settings: &NodeSettings) -> Option<Box<TrialReport>> {
@@ -104,22 +84,19 @@
 
 #[tokio::test]
 async fn conversations_keep_their_arm_and_a_guardrail_takes_all_nodes_back() {
-    let dir = std::env::temp_dir().join(format!("spokebank-trial-{}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&dir);
-    std::fs::create_dir_all(&dir).unwrap();
-    let llm = Engine::start("i-llm", "127.0.10.40:0").await.unwrap();
+    let dir = NET.dir.clone();
+    let llm = Engine::start("i-llm", &NET.outside(40)).await.unwrap();
     let row = ("llm".into(), llm.id.clone(), llm.addr.to_string(), "a".into(), "ready".into());
-    let cloud = serve_platform("127.0.10.50:0", Arc::new(Mutex::new(vec![row]))).await.unwrap();
-    let core = settings("core-1", "core", "127.0.10.1", "a", &dir, cloud);
+    let cloud = serve_platform(&NET.outside(50), Arc::new(Mutex::new(vec![row]))).await.unwrap();
+    let core = settings("core-1", "core", CORE, "a", cloud);
     tokio::spawn(control_cell::run_cell(core.clone()));
-    for (i, zone) in ["a", "b", "c"].iter().enumerate() {
-        let ip = format!("127.0.10.{}", 10 + i);
-        let e = settings(&format!("store-{i}"), "storage", &ip, zone, &dir, cloud);
+    for (i, zone) in (0..).zip(["a", "b", "c"]) {
+        let e = settings(&format!("store-{i}"), "storage", 10 + i, zone, cloud);
         tokio::spawn(turn_store::run_store(e));
     }
     // Both proxies are fed by one agent, since the agent's port is that of the machine.
-    let fronts = [("front-1", "127.0.10.30"), ("front-2", "127.0.10.31")]
-        .map(|(name, ip)| settings(name, "front", ip, "a", &dir, cloud));
+    let fronts = [("front-1", FRONTS[0]), ("front-2", FRONTS[1])]
+        .map(|(name, host)| settings(name, "front", host, "a", cloud));
     tokio::spawn(feed_agent::run_agent(fronts[0].clone()));
     let mut proxies = Vec::new();
     for f in fronts {
@@ -127,7 +104,7 @@
     }
     let h = [("host", "c"), ("if-match", "0"), ("content-type", "application/json")];
     until("the configuration", async || {
-        let a = call(CONTROL, "PUT", "/config", &h, config().as_bytes()).await;
+        let a = call(&NET.control(CORE), "PUT", "/config", &h, config().as_bytes()).await;
         a.is_some_and(|a| a.status == 200)
     })
     .await;
--- a/crates/stand-ins/tests/whole_path.rs
+++ b/crates/stand-ins/tests/whole_path.rs
@@ -1,36 +1,16 @@
 //! The whole path over real sockets: a cell, three stores, an agent and a proxy, against stand-ins of
 //! the engines, the platform's list, the operator and clients.
 use stand_ins::prelude::*;
+use std::sync::LazyLock;
 
-const PORTS: u16 = 27_380;
+static NET: LazyLock<Network> = LazyLock::new(|| Network::new("whole"));
 
-fn settings(
-    name: &str,
-    class: &str,
-    ip: &str,
-    zone: &str,
-    dir: &std::path::Path,
-    cloud: SocketAddr,
-) -> NodeSettings {
-    let mut listen = String::new();
-    if class == "front" {
-        listen = format!("front = \"{ip}:28149\"\nreadiness = \"{ip}:28141\"\n");
-    } else if class == "core" {
-        listen = format!("control = \"{ip}:28144\"\n");
-    }
-    let data = dir.join(name);
-    let text = format!(
-        "nodeName = \"{name}\"\nmachineClass = \"{class}\"\nipAddress = \"{ip}\"\nzone = \"{zone}\"\n\
-         internalPortRange = [{PORTS},{}]\nseedAddresses = [\"127.0.9.1:28144\"]\nfirstStart = true\n\
-         dataDirectory = \"{}\"\n[zones]\na = \"r\"\nb = \"r\"\nc = \"r\"\n[listenAddresses]\n{listen}\
-         [limits]\nmemoryMb = 256\nfileDescriptors = 2000\ndiskMb = 64\n\
-         [cloudApi]\naddress = \"{cloud}\"\nratePerS = 40.0\nlagMs = 10\n",
-        PORTS + 15,
-        data.display()
-    );
-    let file = dir.join(format!("{name}.toml"));
-    std::fs::write(&file, text).unwrap();
-    node_base::settings::read_settings(&file.display().to_string()).unwrap()
+const CORE: u8 = 1;
+const FRONT: u8 = 30;
+
+fn settings(name: &str, class: &str, host: u8, zone: &str, cloud: SocketAddr) -> NodeSettings {
+    let (zones, seeds) = (&["a", "b", "c"], &[CORE]);
+    NET.settings(&Machine { name, class, host, zone, zones, seeds, cloud })
 }
 
 fn config(version: u64, extra: bool) -> String {
@@ -60,9 +40,6 @@
     .to_string()
 }
 
-const FRONT: &str = "127.0.9.30:28149";
-const CONTROL: &str = "127.0.9.1:28144";
-
 /// Asks again until the answer is as wanted; each ask waits for an answer, none waits for time.
 async fn until(what: &str, mut ok: impl AsyncFnMut() -> bool) {
     let end = Instant::now() + Duration::from_secs(20);
@@ -76,7 +53,7 @@
     let base = base.to_string();
     let h = [("host", "c"), ("if-match", base.as_str()), ("content-type", "application/json")];
     let _ = version;
-    call(CONTROL, "PUT", "/config", &h, body.as_bytes()).await.map_or(0, |a| a.status)
+    call(&NET.control(CORE), "PUT", "/config", &h, body.as_bytes()).await.map_or(0, |a| a.status)
 }
 
 async fn turn(id: &str, prev: Option<&str>, most: &str, budget: &str, body: &[u8]) -> Answered {
@@ -108,47 +85,37 @@
     if let Some(p) = prev {
         h.push((names::PREVIOUS, p));
     }
-    call(FRONT, "POST", "/t/x?q=1", &h, body).await.unwrap()
+    call(&NET.front(FRONT), "POST", "/t/x?q=1", &h, body).await.unwrap()
 }
 
 async fn plain(id: &str, method: &str, path: &str, body: &[u8]) -> Answered {
     let h = [("host", "h.example"), (names::REQUEST_ID, id), (names::DEADLINE, "3000")];
-    call(FRONT, method, path, &h, body).await.unwrap()
+    call(&NET.front(FRONT), method, path, &h, body).await.unwrap()
 }
 
-async fn system(dir: &std::path::Path) -> (Engine, [Engine; 2], request_proxy::Running) {
-    let llm = Engine::start("i-llm", "127.0.9.40:0").await.unwrap();
-    let a = Engine::start("i-a", "127.0.9.41:0").await.unwrap();
-    let b = Engine::start("i-b", "127.0.9.42:0").await.unwrap();
+async fn system() -> (Engine, [Engine; 2], request_proxy::Running) {
+    let llm = Engine::start("i-llm", &NET.outside(40)).await.unwrap();
+    let a = Engine::start("i-a", &NET.outside(41)).await.unwrap();
+    let b = Engine::start("i-b", &NET.outside(42)).await.unwrap();
     let row = |s: &str, e: &Engine, zone: &str| {
         (s.to_string(), e.id.clone(), e.addr.to_string(), zone.to_string(), "ready".to_string())
     };
     let list =
         Arc::new(Mutex::new(vec![row("llm", &llm, "a"), row("app", &a, "a"), row("app", &b, "a")]));
-    let cloud = serve_platform("127.0.9.50:0", list).await.unwrap();
-    tokio::spawn(control_cell::run_cell(settings("core-1", "core", "127.0.9.1", "a", dir, cloud)));
-    for (i, zone) in ["a", "b", "c"].iter().enumerate() {
-        let ip = format!("127.0.9.{}", 10 + i);
-        tokio::spawn(turn_store::run_store(settings(
-            &format!("store-{i}"),
-            "storage",
-            &ip,
-            zone,
-            dir,
-            cloud,
-        )));
+    let cloud = serve_platform(&NET.outside(50), list).await.unwrap();
+    tokio::spawn(control_cell::run_cell(settings("core-1", "core", CORE, "a", cloud)));
+    for (i, zone) in (0..).zip(["a", "b", "c"]) {
+        let name = format!("store-{i}");
+        tokio::spawn(turn_store::run_store(settings(&name, "storage", 10 + i, zone, cloud)));
     }
-    let front = settings("front-1", "front", "127.0.9.30", "a", dir, cloud);
+    let front = settings("front-1", "front", FRONT, "a", cloud);
     tokio::spawn(feed_agent::run_agent(front.clone()));
     (llm, [a, b], request_proxy::start_proxy(front).await.unwrap())
 }
 
 #[tokio::test]
 async fn the_whole_path_keeps_its_promises() {
-    let dir = std::env::temp_dir().join(format!("spokebank-whole-{}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&dir);
-    std::fs::create_dir_all(&dir).unwrap();
-    let (llm, apps, proxy) = system(&dir).await;
+    let (llm, apps, proxy) = system().await;
 
     // The operator.
     until("the first configuration", async || put(3, 0, &config(3, false)).await == 200).await;
@@ -158,20 +125,20 @@
     assert_eq!(put(5, 3, "{\"configVersion\": 5").await, 400, "cut short");
     let bad = config(5, true).replace("\"app\",\"timeoutMs\"", "\"none\",\"timeoutMs\"");
     assert_eq!(put(5, 3, &bad).await, 400, "an unknown service");
-    let got = call(CONTROL, "GET", "/config", &[("host", "c")], b"").await.unwrap();
+    let got = call(&NET.control(CORE), "GET", "/config", &[("host", "c")], b"").await.unwrap();
     assert_eq!((got.status, got.body), (200, config(3, false).into_bytes()));
     for (m, p, want) in
         [("DELETE", "/config", 405), ("GET", "/odd", 404), ("POST", "/retire/none", 404)]
     {
         assert_eq!(
-            call(CONTROL, m, p, &[("host", "c")], b"").await.unwrap().status,
+            call(&NET.control(CORE), m, p, &[("host", "c")], b"").await.unwrap().status,
             want,
             "{m} {p}"
         );
     }
 
     until("readiness", async || {
-        let a = call("127.0.9.30:28141", "GET", "/readiness", &[("host", "x")], b"").await;
+        let a = call(&NET.readiness(FRONT), "GET", "/readiness", &[("host", "x")], b"").await;
         a.is_some_and(|a| a.status == 200)
     })
     .await;
@@ -253,7 +220,7 @@
     // Too large, and not readable.
     assert_eq!(plain("b1", "POST", "/w/a", &vec![1; 100_001]).await.status, 413);
     let h = [("host", "h.example"), (names::DEADLINE, "3000")];
-    assert_eq!(call(FRONT, "GET", "/r/a", &h, b"").await.unwrap().status, 400);
+    assert_eq!(call(&NET.front(FRONT), "GET", "/r/a", &h, b"").await.unwrap().status, 400);
 
     // Forms that smuggle a request inside another: refused and closed, or framed anew so that nothing
     // inside is taken for a request.
@@ -270,15 +237,20 @@
     .iter()
     .enumerate()
     {
-        let got =
-            raw(FRONT, format!("{}{inner}", head(&format!("s{i}"), framing)).as_bytes()).await;
+        let got = raw(
+            &NET.front(FRONT),
+            format!("{}{inner}", head(&format!("s{i}"), framing)).as_bytes(),
+        )
+        .await;
         let got = String::from_utf8(got.unwrap()).unwrap();
         assert!(got.starts_with("HTTP/1.1 400"), "{framing}: {got}");
         assert_eq!(got.matches("HTTP/1.1").count(), 1, "{framing}");
     }
     let both = head("s9", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\nConnection: close");
     let n = inner.len();
-    raw(FRONT, format!("{both}{n:x}\r\n{inner}\r\n0\r\n\r\n").as_bytes()).await.unwrap();
+    raw(&NET.front(FRONT), format!("{both}{n:x}\r\n{inner}\r\n0\r\n\r\n").as_bytes())
+        .await
+        .unwrap();
     let inside = apps.iter().flat_map(|e| e.runs()).find(|r| r.request_id == "s9").unwrap();
     assert_eq!(inside.body, inner.as_bytes());
     assert_eq!(runs("inner"), 0);
@@ -313,7 +285,7 @@
         request_proxy::life::end_in_order(&app, proxy.serving, Duration::from_secs(6)).await;
     });
     until("unready", async || {
-        let a = call("127.0.9.30:28141", "GET", "/readiness", &[("host", "x")], b"").await;
+        let a = call(&NET.readiness(FRONT), "GET", "/readiness", &[("host", "x")], b"").await;
         a.is_some_and(|a| a.status == 503)
     })
     .await;
@@ -333,7 +305,7 @@
     let a = speaking.await.unwrap();
     assert_eq!((a.status, a.whole), (200, true));
     end.await.unwrap();
-    assert!(call(FRONT, "GET", "/r/a", &[("host", "h.example")], b"").await.is_none());
+    assert!(call(&NET.front(FRONT), "GET", "/r/a", &[("host", "h.example")], b"").await.is_none());
     assert_eq!(llm.runs().iter().filter(|r| r.request_id == "d1").count(), 1);
-    let _ = std::fs::remove_dir_all(&dir);
+    let _ = std::fs::remove_dir_all(&NET.dir);
 }
