Rename: listed, refused, choose, health_path and routes in place of withdrawn words

In feed-follow, session-index, operator-config, inner-protocol, node-base, agreement and the doctor; names, comments and test names only. Left, since others work there or since the name is public and used elsewhere: request-proxy, feed-agent, turn-store, control-cell/duties, session-index's Placed.

--- a/crates/agreement/src/core/leader.rs
+++ b/crates/agreement/src/core/leader.rs
@@ -16,7 +16,7 @@
     pub at: Duration,
 }
 
-/// A read that waits for a majority's word.
+/// A read that waits for a majority's answer.
 #[derive(Debug, Clone, Copy)]
 pub struct WaitingReader {
     /// The driver's.
--- a/crates/agreement/src/core/types.rs
+++ b/crates/agreement/src/core/types.rs
@@ -79,7 +79,7 @@
     }
 }
 
-/// What a consensus node is told.
+/// What a consensus node is given.
 #[derive(Debug, Clone)]
 pub enum Event {
     /// Time has passed.
--- a/crates/doctor/src/findings/mod.rs
+++ b/crates/doctor/src/findings/mod.rs
@@ -86,7 +86,7 @@
                     say(
                         zone,
                         format!("{engines} engines are known and {listed} are listed"),
-                        "right after a change ask again; else see the holder's way to the platform",
+                        "right after a change ask again; else see the holder's connection to the platform",
                     );
                 }
             }
--- a/crates/feed-follow/src/base/mod.rs
+++ b/crates/feed-follow/src/base/mod.rs
@@ -1,14 +1,14 @@
 //! Makes configurations that came as differences whole again.
 use crate::prelude::*;
 
-/// Invariant: `last` is the configuration the followed feed told last, by version.
+/// Invariant: `last` is the configuration the followed feed sent last, by version.
 #[derive(Debug, Default)]
 pub struct PatchBase {
     last: Option<(u64, ByteBuf)>,
 }
 
 impl PatchBase {
-    /// The item, with a difference made whole; none when it isn't one to what was told last.
+    /// The item, with a difference made whole; none when it isn't one to what was sent last.
     pub fn whole(&mut self, item: FeedItem) -> Option<FeedItem> {
         match item {
             FeedItem::Config { version, ref body, .. } => {
--- a/crates/feed-follow/src/link/machine.rs
+++ b/crates/feed-follow/src/link/machine.rs
@@ -8,7 +8,7 @@
     Try,
     /// The connection stands.
     Linked,
-    /// The cell says that a majority has confirmed what it told.
+    /// The cell says that a majority has confirmed what it sent.
     Current,
     /// The connection has ended.
     Lost,
--- a/crates/feed-follow/src/link/mod.rs
+++ b/crates/feed-follow/src/link/mod.rs
@@ -8,11 +8,11 @@
 use node_base::links::{connect, frame_stream, Wire};
 use node_base::settings::FEED_PORT;
 
-/// A follower: who it is, and where cells were first told to be.
+/// A follower: who it is, and where it first looks for cells.
 pub struct FollowSettings {
     /// The node's name, which ranks the cells for it.
     pub name: String,
-    /// Where it looks before, or when, no cell that it was told of answers.
+    /// Where it looks before, or when, no cell that it learnt of answers.
     pub seeds: Seeds,
     /// The port on which every cell serves its feed.
     pub feed_port: u16,
@@ -22,7 +22,7 @@
     pub topics: Topics,
     /// Silence after which the link moves.
     pub silence: Duration,
-    /// How often this follower's word is told again when it hasn't changed.
+    /// How often this follower's status is sent again when it hasn't changed.
     pub repeat: Duration,
 }
 
@@ -64,7 +64,7 @@
     format!("{ip}:{port}")
 }
 
-/// Follows until the receiver is gone. `status` is told to the cell whenever it changes, and each
+/// Follows until the receiver is gone. `status` is sent to the cell whenever it changes, and each
 /// `repeat`.
 pub async fn follow_cells<W: Into<FollowMsg> + Clone>(
     settings: FollowSettings,
@@ -119,7 +119,7 @@
     cell: &'a str,
     began: Instant,
     place: &'a mut (u64, u64),
-    /// The configuration this feed told last, as of that place.
+    /// The configuration this feed sent last, as of that place.
     base: &'a mut PatchBase,
     cells: &'a mut CellRank,
 }
--- a/crates/feed-follow/src/rank/mod.rs
+++ b/crates/feed-follow/src/rank/mod.rs
@@ -68,18 +68,18 @@
         }
     }
 
-    fn is_told(&self, addr: &str) -> bool {
+    fn is_listed(&self, addr: &str) -> bool {
         self.cells.iter().any(|c| c.addr == addr)
     }
 
-    /// The cell to try now: the told ones, home first, then the seeds that aren't among them.
+    /// The cell to try now: the listed ones, home first, then the seeds that aren't among them.
     pub fn next(&self) -> Option<&String> {
         let mut row: Vec<&String> = self.cells.iter().map(|c| &c.addr).collect();
-        row.extend(self.seeds.iter().filter(|s| !self.is_told(s)));
+        row.extend(self.seeds.iter().filter(|s| !self.is_listed(s)));
         let rank = rank_by_rendezvous(self.key, row.iter().map(|a| fnv64(a.as_bytes())));
         row.sort_by_key(|a| {
             let place = rank.iter().position(|h| *h == fnv64(a.as_bytes()));
-            (!self.is_told(a), !self.is_home(a), place)
+            (!self.is_listed(a), !self.is_home(a), place)
         });
         row.get(self.turn % row.len().max(1)).copied()
     }
@@ -90,7 +90,7 @@
         self.turn = self.turn.wrapping_add(1);
     }
 
-    /// Linked to `addr` and told all: a link at home shows that home may be trusted again.
+    /// Linked to `addr` and sent everything: a link at home shows that home may be trusted again.
     pub fn following(&mut self, addr: &str) {
         if self.is_home(addr) {
             self.pause = LEAST_PAUSE;
--- a/crates/feed-follow/src/seeds/mod.rs
+++ b/crates/feed-follow/src/seeds/mod.rs
@@ -1,11 +1,11 @@
-//! Where a follower looks before, or when, the cells it was told of don't answer.
+//! Where a follower looks before, or when, the cells that it learnt of don't answer.
 use crate::prelude::*;
 use node_base::settings::CELL_PORT;
 
 /// The first addresses of a follower.
 #[derive(Debug, Clone)]
 pub enum Seeds {
-    /// The one address there is: cells told by the feed aren't followed.
+    /// The one address there is: cells listed by the feed aren't followed.
     Fixed(String),
     /// The seeds of the settings in force, and the cells that the feed tells of.
     FromSettings(SharedSettings),
--- a/crates/feed-follow/src/view/mod.rs
+++ b/crates/feed-follow/src/view/mod.rs
@@ -1,4 +1,4 @@
-//! The newest of everything the feed told.
+//! The newest of everything that the feed sent.
 use crate::prelude::*;
 
 /// The operator's configuration, as the feed brought it.
@@ -49,7 +49,7 @@
 }
 
 impl FeedView {
-    /// True when the item is news.
+    /// True when the item is newer than what is here.
     pub fn take(&mut self, item: &FeedItem) -> bool {
         match item {
             FeedItem::Config { index, version, body } => {
--- a/crates/feed-follow/tests/rank.rs
+++ b/crates/feed-follow/tests/rank.rs
@@ -5,12 +5,12 @@
     (0..n).map(|i| format!("10.0.0.{i}:1")).collect()
 }
 
-/// So many seeds of which every second one is a told cell too.
-fn seeds(n: usize, told: &[String]) -> Vec<String> {
-    (0..n).map(|i| if i % 2 == 1 { told[0].clone() } else { format!("10.0.1.{i}:1") }).collect()
+/// So many seeds of which every second one is a listed cell too.
+fn seeds(n: usize, listed: &[String]) -> Vec<String> {
+    (0..n).map(|i| if i % 2 == 1 { listed[0].clone() } else { format!("10.0.1.{i}:1") }).collect()
 }
 
-/// Any schedule of cells told, links ended and time passing: a follower with a cell in its zone comes
+/// Any schedule of cells listed, links ended and time passing: a follower with a cell in its zone comes
 /// to it, doesn't leave it by itself, and away from home tries it at most once a pause.
 #[test]
 fn a_follower_comes_home_and_does_not_flap() {
@@ -28,14 +28,18 @@
         assert_eq!(r.next().is_some_and(home), any_home);
         let mut now = Duration::ZERO;
         let mut left = Vec::new();
-        // Home first, then the others, then seeds that aren't told: each once in a round.
+        // Home first, then the others, then seeds that aren't listed: each once in a round.
         let seeds = seeds(u.int_in_range(0..=3)?, &all);
         r.use_seeds(&seeds);
-        let told: BTreeSet<_> = all.iter().cloned().collect();
+        let listed: BTreeSet<_> = all.iter().cloned().collect();
         let every: BTreeSet<_> = all.iter().chain(&seeds).cloned().collect();
-        let untold = every.len() - told.len();
-        assert_eq!(r.next().is_some_and(|a| !told.contains(a)), untold > 0, "new seeds go first");
-        for _ in 0..untold {
+        let unlisted = every.len() - listed.len();
+        assert_eq!(
+            r.next().is_some_and(|a| !listed.contains(a)),
+            unlisted > 0,
+            "new seeds go first"
+        );
+        for _ in 0..unlisted {
             r.ended(false);
         }
         for round in 0..2 {
@@ -45,7 +49,7 @@
                 r.ended(false);
             }
             assert_eq!(tried.iter().cloned().collect::<BTreeSet<_>>(), every, "round {round}");
-            assert_eq!(tried[..all.len()].iter().cloned().collect::<BTreeSet<_>>(), told);
+            assert_eq!(tried[..all.len()].iter().cloned().collect::<BTreeSet<_>>(), listed);
             let homes = all.iter().filter(|a| home(a)).count();
             assert!(tried[..homes].iter().all(home));
         }
@@ -71,10 +75,10 @@
 
 /// Three seeds and no cell that answers: before, the sixth turn always fell on the same one of the three.
 #[test]
-fn every_seed_is_tried_when_no_told_cell_answers() {
-    let told = names(4);
-    let mut r = CellRank::new("front-1", "a", &told[..1]);
-    r.learn(4, &told, &[]);
+fn every_seed_is_tried_when_no_listed_cell_answers() {
+    let listed = names(4);
+    let mut r = CellRank::new("front-1", "a", &listed[..1]);
+    r.learn(4, &listed, &[]);
     let seeds: Vec<String> = (0..3).map(|i| format!("10.0.9.{i}:1")).collect();
     r.use_seeds(&seeds);
     let mut tried = BTreeSet::new();
@@ -88,10 +92,10 @@
 /// New seeds don't draw a follower away from cells that answer.
 #[test]
 fn new_seeds_wait_while_cells_answer() {
-    let told = names(4);
-    let mut r = CellRank::new("front-1", "a", &told[..1]);
-    r.learn(4, &told, &[]);
+    let listed = names(4);
+    let mut r = CellRank::new("front-1", "a", &listed[..1]);
+    r.learn(4, &listed, &[]);
     r.ended(true);
     r.use_seeds(&["10.0.9.1:1".into()]);
-    assert!(r.next().is_some_and(|a| told.contains(a)));
+    assert!(r.next().is_some_and(|a| listed.contains(a)));
 }
--- a/crates/feed-follow/tests/view.rs
+++ b/crates/feed-follow/tests/view.rs
@@ -1,4 +1,4 @@
-//! The newest of everything the feed told.
+//! The newest of everything that the feed sent.
 use feed_follow::prelude::*;
 use routing_trial::prelude::check_spec;
 
@@ -17,7 +17,7 @@
     FeedItem::Trial { index, trial }
 }
 
-/// A trace as two cells told it in turn, the second one behind the first.
+/// A trace as two cells sent it in turn, the second one behind the first.
 #[test]
 fn a_cell_that_is_behind_takes_nothing_back() {
     let mut v = FeedView::default();
@@ -37,8 +37,8 @@
         (trial(11), true),
         (FeedItem::Current, false),
     ];
-    for (i, (item, news)) in trace.iter().enumerate() {
-        assert_eq!(v.take(item), *news, "row {i}");
+    for (i, (item, is_newer)) in trace.iter().enumerate() {
+        assert_eq!(v.take(item), *is_newer, "row {i}");
     }
     assert_eq!(v.config.as_ref().map(|c| c.version), Some(12));
     let mut w = FeedView::default();
--- a/crates/inner-protocol/src/feed.rs
+++ b/crates/inner-protocol/src/feed.rs
@@ -3,7 +3,7 @@
 use crate::prelude::*;
 use crate::stores::{StoreSet, StoreStatus};
 
-/// An engine as the platform's list tells it.
+/// An engine as the platform's list shows it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineEntry {
     /// The platform's name for it.
@@ -22,7 +22,7 @@
     pub cold_ms: u64,
 }
 
-/// All engines of an zone. Invariant: (`epoch`, `seq`) never goes back for an zone; `epoch` is the
+/// All engines of a zone. Invariant: (`epoch`, `seq`) never goes back for a zone; `epoch` is the
 /// log index that made the holder, `seq` counts that holder's tables.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ZoneTable {
@@ -36,7 +36,7 @@
     pub engines: Vec<EngineEntry>,
 }
 
-/// What the feed tells.
+/// What the feed carries.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FeedItem {
     /// The operator's configuration, as it was sent, by log index.
@@ -48,7 +48,7 @@
         /// As it was sent.
         body: ByteBuf,
     },
-    /// The same as a difference to the configuration `base` that this feed told last.
+    /// The same as a difference to the configuration `base` that this feed sent last.
     ConfigPatch {
         /// The log index that brought it.
         index: u64,
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Whether a follower that wants `topics` is told of this item.
+    /// Whether a follower that wants `topics` is sent this item.
     pub fn is_of(&self, topics: Topics) -> bool {
         topics == Topics::All
             || !matches!(
--- a/crates/inner-protocol/src/stores/mod.rs
+++ b/crates/inner-protocol/src/stores/mod.rs
@@ -79,7 +79,7 @@
     /// The program's attempts.
     #[serde(rename = "l", default)]
     pub view: ProgramView,
-    /// A greater incarnation of the claiming node than its own that this store has heard of.
+    /// A greater incarnation of the claiming node than its own that this store knows of.
     #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
     pub later: Option<u64>,
     /// Whether the turn before is here.
@@ -155,7 +155,7 @@
         /// The attempt's settlement, which must be granted for the turn to be kept.
         settle: Option<LedgerWrite>,
     },
-    /// A write of the dispatcher: a marker, a renewal, a recovery.
+    /// A write of the dispatcher: a launch intent, a renewal, a recovery.
     Write {
         /// The version of the set that it is made under.
         version: u64,
@@ -174,7 +174,7 @@
     /// A store that was assigned programs by a change of the set asks for what another holds of them,
     /// from a program on.
     Sync(SyncCall),
-    /// A newer set, from a caller that was told of it first.
+    /// A newer set, from a caller that learnt of it first.
     Learn {
         /// The set.
         set: StoreSet,
@@ -210,7 +210,7 @@
     },
     /// The caller works under an older set; here is the newer.
     Stale(StoreSet),
-    /// This store has not heard of the caller's set yet.
+    /// This store doesn't know the caller's set yet.
     Behind,
     /// To `Sync`.
     Sync(SyncReply),
--- a/crates/inner-protocol/tests/groups.rs
+++ b/crates/inner-protocol/tests/groups.rs
@@ -1,4 +1,4 @@
-//! Groups of stores: what a change of the seating may do to them, and who may speak for a program.
+//! Groups of stores: what a change of the placement may do to them, and who may speak for a program.
 use inner_protocol::prelude::*;
 use inner_protocol::stores::*;
 
@@ -42,7 +42,7 @@
 }
 
 /// Generated: whoever comes or goes, at most one store comes to any group, and one at most leaves it; a
-/// wiped store takes the seat it had.
+/// wiped store takes the rank it had.
 #[test]
 fn a_change_of_one_store_changes_one_member_at_the_most() {
     for seed in 0..120u64 {
@@ -69,7 +69,7 @@
                     let old = set.stores[hit].id;
                     let same: Vec<u64> =
                         a.iter().map(|id| if *id == old { 99 } else { *id }).collect();
-                    assert_eq!(same, b, "the same seat");
+                    assert_eq!(same, b, "the same rank");
                 }
             }
             Ok(())
--- a/crates/node-base/src/settings/check.rs
+++ b/crates/node-base/src/settings/check.rs
@@ -1,4 +1,4 @@
-//! Checks each field; the first fault is told with file, field and reason.
+//! Checks each field; the first fault is reported with file, field and reason.
 use super::raw::{RawCloud, RawSettings};
 use crate::prelude::*;
 
--- a/crates/node-base/tests/reload.rs
+++ b/crates/node-base/tests/reload.rs
@@ -101,7 +101,7 @@
 /// Each row of the table has a change here, and the change touches that row alone: a field that no row
 /// reached, or two rows reached, would show.
 #[test]
-fn each_field_is_told_alone_and_takes_effect_as_its_row_says() {
+fn each_field_is_reported_alone_and_takes_effect_as_its_row_says() {
     let names: Vec<&str> = FIELD_RULES.iter().map(|r| r.name).collect();
     let changed: Vec<&str> = CHANGES.iter().map(|c| c.0).collect();
     assert_eq!(names, changed);
@@ -185,7 +185,7 @@
 }
 
 #[test]
-fn what_needs_a_restart_stays_and_is_told() {
+fn what_needs_a_restart_stays_and_is_reported() {
     let mut r = Reloader::new("f", WHOLE).unwrap();
     let text = WHOLE.replace("\"n1\"", "\"n2\"").replace("machines = 2", "machines = 3");
     let Reading::Taken { settings, taken, waiting } = settled(&mut r, &text) else {
--- a/crates/operator-config/src/check/fields.rs
+++ b/crates/operator-config/src/check/fields.rs
@@ -105,7 +105,7 @@
             if !seen.insert(name.clone()) {
                 self.fault(format!("{at}.name"), format!("'{name}' is there twice"));
             }
-            let liveness_path = match obj.get("healthPath") {
+            let health_path = match obj.get("healthPath") {
                 None => "/health".into(),
                 Some(_) => self.text(obj, &at, "healthPath"),
             };
@@ -124,7 +124,7 @@
                     None
                 }
             };
-            out.push(Arc::new(Service { name, liveness_path, most_connections, engine }));
+            out.push(Arc::new(Service { name, health_path, most_connections, engine }));
         }
         out
     }
--- a/crates/operator-config/src/routes/mod.rs
+++ b/crates/operator-config/src/routes/mod.rs
@@ -1,4 +1,4 @@
-//! What a checked configuration says, and how a request finds its way.
+//! What a checked configuration says, and how a request finds its route.
 use crate::prelude::*;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,7 +44,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
     pub name: String,
-    pub liveness_path: String,
+    pub health_path: String,
     pub most_connections: u32,
     pub engine: Option<EngineModel>,
 }
@@ -65,7 +65,7 @@
     pub limits: LimitsOfClients,
 }
 
-/// Ways by host, longest prefix first. Invariant: no two ways of a host share a prefix.
+/// Routes by host, longest prefix first. Invariant: no two routes of a host share a prefix.
 #[derive(Debug, Default)]
 pub struct RouteTable {
     hosts: HashMap<String, Vec<Arc<Route>>>,
--- a/crates/operator-config/tests/check.rs
+++ b/crates/operator-config/tests/check.rs
@@ -41,7 +41,7 @@
 }
 
 #[test]
-fn every_invalid_form_is_told_with_its_place() {
+fn every_invalid_form_is_reported_with_its_place() {
     assert!(check_config(b"{\"configVersion\": 7, \"routeTable\"").is_err());
     assert!(check_config(b"[]").is_err());
     let cases: Vec<(Vec<String>, &str)> = vec![
--- a/crates/session-index/src/engines/mod.rs
+++ b/crates/session-index/src/engines/mod.rs
@@ -15,7 +15,7 @@
     }
 }
 
-/// Invariants: `own` counts this proxy's sends under way, `reading` their tokens not yet read,
+/// Invariants: `own` counts this proxy's attempts under way, `reading` their tokens not yet read,
 /// `memory` all their tokens; a draining engine is given nothing new.
 #[derive(Debug, Clone)]
 pub struct EngineRow {
--- a/crates/session-index/src/evidence/mod.rs
+++ b/crates/session-index/src/evidence/mod.rs
@@ -74,7 +74,7 @@
         }
     }
 
-    /// An engine has gone. `crashed` tells that it wasn't draining.
+    /// An engine has gone. `crashed` says that it wasn't draining.
     pub fn remove(&mut self, key: EngineKey, crashed: bool) {
         let Some(r) = self.rows.remove(&key) else { return };
         if crashed {
@@ -97,7 +97,7 @@
         }
     }
 
-    /// A send begins; when nothing is heard of it for `patience`, it is silent.
+    /// An attempt begins; when nothing is received of it for `patience`, it is silent.
     pub fn begin(&mut self, key: EngineKey, version: u64, patience: Duration, now: Duration) {
         self.clock = now.max(self.clock);
         if let Some(r) = self.rows.get_mut(&key) {
@@ -126,7 +126,7 @@
         }
     }
 
-    /// A send is over, however it ended. One that nothing was heard of for long counts as silence: its
+    /// An attempt is over, however it ended. One of which nothing was received for long counts as silence: its
     /// time was over, or the client went away.
     pub fn finish(&mut self, key: EngineKey, version: u64, now: Duration) {
         let Some(r) = self.rows.get_mut(&key) else { return };
--- a/crates/session-index/src/evidence/notes.rs
+++ b/crates/session-index/src/evidence/notes.rs
@@ -1,4 +1,4 @@
-//! What operators are told: ejections and returns, bounded in rate.
+//! What operators are shown: ejections and returns, bounded in rate.
 use crate::prelude::*;
 
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/session-index/src/evidence/row.rs
+++ b/crates/session-index/src/evidence/row.rs
@@ -8,7 +8,7 @@
 pub struct OpenSend {
     pub version: u64,
     pub at: Duration,
-    /// Nothing heard of it after this time is silence.
+    /// Nothing received of it after this time is silence.
     pub patience: Duration,
     pub answered: bool,
 }
--- a/crates/session-index/src/scheduler/elect.rs
+++ b/crates/session-index/src/scheduler/choose.rs
@@ -14,7 +14,7 @@
     }
 
     /// The engine that costs the request least, if any may take it now.
-    pub(super) fn elect(&self, ask: &Ask, now: Duration) -> Option<Grant> {
+    pub(super) fn choose(&self, ask: &Ask, now: Duration) -> Option<Grant> {
         self.elect_among(ask, now, false).or_else(|| {
             // Ejected engines are used when there is no other left, not when the others are full.
             let usable = |e: &EngineRow| !e.draining && !ask.tried.contains(&e.key);
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -1,6 +1,6 @@
 //! The scheduler: for every turn it asks the index, for every call it weighs the engines; what can't
-//! run now waits by priority and slack, and what can't be met is shed at once.
-mod elect;
+//! run now waits by priority and slack, and what can't be met is refused at once.
+mod choose;
 mod prior;
 #[cfg(test)]
 mod tests;
@@ -166,7 +166,7 @@
         if self.ready.is_waiting(&ask.service, ask.priority) {
             return None;
         }
-        let g = self.elect(ask, now)?;
+        let g = self.choose(ask, now)?;
         Some(self.begin(ask, g, now))
     }
 
@@ -265,7 +265,7 @@
         let mut out = Vec::new();
         let mut stuck: HashSet<Arc<str>> = HashSet::new();
         while let Some((ticket, ask)) = self.ready.next(&stuck).map(|(t, a)| (t, a.clone())) {
-            match self.elect(&ask, now) {
+            match self.choose(&ask, now) {
                 Some(g) => {
                     let g = self.begin(&ask, g, now);
                     self.ready.remove(ticket);
@@ -290,7 +290,7 @@
         Some(e.addr)
     }
 
-    /// An engine's own word: its load, and how much of its memory can't give way. What is believed
+    /// An engine's own report: its load, and how much of its memory can't give way. What is believed
     /// held beyond the rest of its memory is no longer believed.
     pub fn reported(
         &mut self,
@@ -315,7 +315,7 @@
         self.ready.remove(ticket);
     }
 
-    /// A send didn't run: another engine lives there, the engine turned it away, or wasn't reached.
+    /// An attempt didn't run: another engine lives there, the engine turned it away, or wasn't reached.
     pub fn not_run(&mut self, g: &Grant, reached: bool, elsewhere: bool, now: Duration) {
         match (elsewhere, reached) {
             (true, _) => self.replaced(g.key, now),
--- a/crates/session-index/src/scheduler/tests.rs
+++ b/crates/session-index/src/scheduler/tests.rs
@@ -108,7 +108,7 @@
 }
 
 #[test]
-fn a_line_told_by_its_records_goes_to_the_engine_they_name() {
+fn a_line_known_by_its_records_goes_to_the_engine_they_name() {
     let mut s = scheduler();
     let mut a = turn("l", &["p", "1", "2"]);
     a.reported_holder = Some(EngineKey::of("y"));
@@ -138,7 +138,7 @@
 }
 
 #[test]
-fn what_can_t_be_met_is_shed_at_once() {
+fn what_can_t_be_met_is_refused_at_once() {
     let mut s = scheduler();
     for _ in 0..24 {
         go(s.place(plain(2, 500), NOW));
