Turns: a search over all stores counts with the quorum

Cause: with fewer placed stores than a group, fewer than 'all but T' can hold a turn; one no of three was taken for 'no such turn' where two may be lost (found by reading). Change: a turn is nowhere once fewer stores than a quorum haven't said no. Test: a search over three stores needs two noes; fails before.

--- a/crates/request-proxy/src/turns/open.rs
+++ b/crates/request-proxy/src/turns/open.rs
@@ -72,9 +72,9 @@
     }
 
     /// A search over all of a set's stores, whichever program's the turn is. A turn that counts lies
-    /// with a majority of some group: it is nowhere when all but the tolerated losses say no.
+    /// with a quorum of some group: it is nowhere when fewer placed stores than that haven't said no.
     pub fn search(set: &StoreSet, size: usize) -> Self {
-        let noes = set.placed().saturating_sub(set.tolerated as usize).max(1);
+        let noes = (set.placed() + 1).saturating_sub(set.quorum()).max(1);
         OpenLedger { noes, everywhere: true, ..OpenLedger::new(size, 0, true) }
     }
 
--- a/crates/request-proxy/tests/open.rs
+++ b/crates/request-proxy/tests/open.rs
@@ -73,12 +73,11 @@
     assert_eq!(l.step(&[1, 2, 3]), OpenStep::Ready);
 }
 
-/// A search over all stores: nowhere only when all but the tolerated losses say no.
-#[test]
-fn a_search_says_no_only_when_no_majority_of_any_group_can_hold_the_turn() {
-    let set = StoreSet::default().next(|s| {
+/// A set in which two may be lost at once.
+fn placed_stores(count: u64) -> StoreSet {
+    StoreSet::default().next(|s| {
         s.tolerated = 2;
-        s.stores = (1..=9)
+        s.stores = (1..=count)
             .map(|id| StoreEntry {
                 id,
                 name: format!("s{id}"),
@@ -89,7 +88,23 @@
                 rank: id,
             })
             .collect();
-    });
+    })
+}
+
+/// With fewer stores than a group a quorum is smaller: one no of three leaves two that may hold the turn.
+#[test]
+fn a_search_over_fewer_stores_than_a_group_needs_more_than_one_no() {
+    let mut l = OpenLedger::search(&placed_stores(3), 3);
+    no(&mut l, 1, true);
+    assert_eq!(l.step(&[]), OpenStep::Wait);
+    no(&mut l, 2, true);
+    assert_eq!(l.step(&[]), OpenStep::Fault(OpenFault::NoTurn));
+}
+
+/// A search over all stores: nowhere only when all but the tolerated losses say no.
+#[test]
+fn a_search_says_no_only_when_no_majority_of_any_group_can_hold_the_turn() {
+    let set = placed_stores(9);
     let mut l = OpenLedger::search(&set, 9);
     for s in 1..=6 {
         no(&mut l, s, true);
