Stores: a turn is kept with its whole chain, and records that are owed outlive their segment

Cause: two turns of a program may be kept by different stores. One that had the later without the earlier counted as a copy, and one with the earlier alone let it expire. A segment was removed by the time its records were written for, though a chain is renewed and a ledger goes on (both found by reading). Change: a store answers Lacks and keeps nothing until the chain comes along; what is still owed is written again before segments go.

--- a/crates/inner-protocol/src/stores/mod.rs
+++ b/crates/inner-protocol/src/stores/mod.rs
@@ -115,12 +115,12 @@
         version: u64,
         id: String,
     },
-    /// Keeps a turn and settles its attempt. `foreign` are the turns before it, where these are
-    /// another program's.
+    /// Keeps a turn and settles its attempt. `earlier` are turns of its chain that the store said it
+    /// lacks: whoever keeps a turn keeps its whole chain.
     Close {
         version: u64,
         record: TurnRecord,
-        foreign: Vec<TurnRecord>,
+        earlier: Vec<TurnRecord>,
         settle: Option<LedgerWrite>,
     },
     /// A write of the dispatcher: a marker, a renewal, a recovery.
@@ -155,6 +155,8 @@
         turns: Vec<TurnRecord>,
     },
     Done,
+    /// The store lacks these turns of the chain, oldest first: nothing was kept.
+    Lacks(Vec<String>),
     Written {
         has_complete_history: bool,
         outcome: WriteOutcome,
--- a/crates/request-proxy/src/flow/turn.rs
+++ b/crates/request-proxy/src/flow/turn.rs
@@ -239,10 +239,7 @@
                         line_tokens: turn.tokens.0,
                         keep_ms: job.route.retention.as_millis() as u64,
                     },
-                    foreign: match last {
-                        Some(l) if l.program != turn.program => opened.chain.clone(),
-                        _ => Vec::new(),
-                    },
+                    chain: opened.chain.clone(),
                     tokens: 0,
                     claim: None,
                 });
--- a/crates/request-proxy/src/turns/closing.rs
+++ b/crates/request-proxy/src/turns/closing.rs
@@ -13,36 +13,55 @@
 /// A turn to be kept.
 pub struct TurnClose {
     pub record: TurnRecord,
-    /// The turns before it, where these were another program's.
-    pub foreign: Vec<Arc<TurnRecord>>,
+    /// The turns before it, oldest first, for stores that lack some of them.
+    pub chain: Vec<Arc<TurnRecord>>,
     pub tokens: u32,
     pub claim: Option<Claim>,
 }
 
+/// A turn on its way to the stores.
+struct KeptTurn<'a> {
+    record: &'a TurnRecord,
+    chain: &'a [Arc<TurnRecord>],
+    settle: Option<&'a LedgerWrite>,
+}
+
+impl KeptTurn<'_> {
+    fn call(&self, version: u64, earlier: Vec<TurnRecord>) -> StoreCall {
+        StoreCall::Close {
+            version,
+            record: self.record.clone(),
+            earlier,
+            settle: self.settle.cloned(),
+        }
+    }
+
+    /// Turns of the chain, by id.
+    fn earlier(&self, ids: &[String]) -> Vec<TurnRecord> {
+        let asked = self.chain.iter().filter(|turn| ids.contains(&turn.id));
+        asked.map(|turn| TurnRecord::clone(turn)).collect()
+    }
+}
+
 impl TurnBank {
     /// Keeps a turn with a majority of its program's group and settles it; true once all of these have
     /// synced it. Whoever is slow or away is helped by the group's others.
     pub async fn close(&self, c: TurnClose, until: Instant) -> bool {
-        let TurnClose { record, foreign, tokens, claim } = c;
+        let TurnClose { record, chain, tokens, claim } = c;
         let settle = claim.as_ref().map(|c| c.settle(tokens, true));
         if let Some(c) = &claim {
             self.let_go(c.req);
         }
         let program = record.program.clone();
         let record = Arc::new(record);
+        let kept = KeptTurn { record: &record, chain: &chain, settle: settle.as_ref() };
         loop {
             let set = self.set();
             if set.placed() > 0 {
-                let q = StoreCall::Close {
-                    version: set.version,
-                    record: TurnRecord::clone(&record),
-                    foreign: foreign.iter().map(|r| TurnRecord::clone(r)).collect(),
-                    settle: settle.clone(),
-                };
                 let note =
                     settle.clone().map(|write| StoreCall::Note { program: program.clone(), write });
-                if self.close_under(&set, &program, encode(&q), note.as_ref(), until).await {
-                    locked(&self.cache).put(record, Some(Instant::now()));
+                if self.close_under(&set, &kept, note.as_ref(), until).await {
+                    locked(&self.cache).put(record.clone(), Some(Instant::now()));
                     return true;
                 }
             }
@@ -56,16 +75,25 @@
     async fn close_under(
         &self,
         set: &StoreSet,
-        program: &str,
-        q: Bytes,
+        turn: &KeptTurn<'_>,
         settle: Option<&StoreCall>,
         until: Instant,
     ) -> bool {
-        let row = self.row(set, program);
+        let row = self.row(set, &turn.record.program);
         let quorum = set.quorum();
+        let without_chain = encode(&turn.call(set.version, Vec::new()));
         let call = |e: &StoreEntry| {
-            let (link, q, id) = (self.link(&e.addr), q.clone(), e.id);
-            async move { (id, link.call(q, CALL).await) }
+            let (link, id) = (self.link(&e.addr), e.id);
+            let (first, version) = (without_chain.clone(), set.version);
+            async move {
+                match link.call(first, CALL).await {
+                    Ok(StoreReply::Lacks(ids)) => {
+                        let whole = encode(&turn.call(version, turn.earlier(&ids)));
+                        (id, link.call(whole, CALL).await)
+                    }
+                    reply => (id, reply),
+                }
+            }
         };
         let mut work = FuturesUnordered::new();
         let mut rest: VecDeque<&StoreEntry> = row.iter().copied().collect();
--- a/crates/stand-ins/tests/store_schedules/world.rs
+++ b/crates/stand-ins/tests/store_schedules/world.rs
@@ -430,10 +430,6 @@
         let set = if u.ratio(1, 5)? { self.set.clone() } else { set };
         let group = shuffled(u, &set.group(StoreSet::key_of(&program)))?;
         let id = format!("t{req}");
-        let foreign = match chain.last() {
-            Some(l) if l.program != program => chain,
-            _ => Vec::new(),
-        };
         let record = TurnRecord {
             id: id.clone(),
             chain: ids.clone(),
@@ -450,13 +446,18 @@
         let settle = LedgerWrite::Settle { req, epoch, tokens: 4, stopped: true, call: None };
         let mut kept = 0;
         for s in group {
-            let q = StoreCall::Close {
+            let close = |earlier: Vec<TurnRecord>| StoreCall::Close {
                 version: set.version,
                 record: record.clone(),
-                foreign: foreign.clone(),
+                earlier,
                 settle: Some(settle.clone()),
             };
-            if let Some(StoreReply::Done) = self.at(s).and_then(|s| s.call(q)) {
+            let mut reply = self.at(s).and_then(|s| s.call(close(Vec::new())));
+            if let Some(StoreReply::Lacks(ids)) = reply {
+                let asked = chain.iter().filter(|t| ids.contains(&t.id)).cloned().collect();
+                reply = self.at(s).and_then(|s| s.call(close(asked)));
+            }
+            if let Some(StoreReply::Done) = reply {
                 kept += 1;
             }
             if kept == set.quorum() {
--- a/crates/turn-store/src/actor/mod.rs
+++ b/crates/turn-store/src/actor/mod.rs
@@ -1,6 +1,8 @@
 //! The one owner of the store's tables and log. Commands that came together are written and synced
 //! together, and only then answered.
 mod copying;
+mod segments;
 mod work;
 
+pub use segments::{Removal, SegmentUses};
 pub use work::{start, StoreCommand, StoreHandle};
--- a/crates/turn-store/src/actor/work.rs
+++ b/crates/turn-store/src/actor/work.rs
@@ -78,8 +78,8 @@
 /// The first set that is ever agreed on: before it nothing was kept.
 const FIRST_VERSION: u64 = 1;
 
-/// Invariants: what is answered is synced; `ends[i]` is when the last record of segment `i` may be
-/// forgotten, and a segment is removed only after that.
+/// Invariants: what is answered is synced; a segment is removed only once its records are past the time
+/// that they were written for, and what is owed for longer was written again and synced.
 struct Actor {
     dir: PathBuf,
     name: String,
@@ -87,7 +87,7 @@
     began: Instant,
     tables: StoreTables,
     log: SegmentLog,
-    ends: BTreeMap<u64, Duration>,
+    segments: SegmentUses,
     /// Bumped when there may be something to ask the others for.
     due: watch::Sender<u64>,
     status: watch::Sender<Option<StoreStatus>>,
@@ -96,9 +96,6 @@
     segment_bytes: u64,
 }
 
-/// How long a segment's records may matter at the least.
-const SEGMENT_KEPT: Duration = Duration::from_secs(240);
-
 pub type StatusWatch = watch::Receiver<Option<StoreStatus>>;
 
 /// Reads what is on the disk and starts the owner. Gives back the store's status as it changes.
@@ -149,7 +146,7 @@
     let (tx, rx) = mpsc::channel(4096);
     let (released, released_rx) = watch::channel(false);
     let handle = StoreHandle { queue: tx, released: released_rx };
-    let ends = (log.first_no()..=log.segment_no()).map(|n| (n, SEGMENT_KEPT)).collect();
+    let segments = SegmentUses::found(log.first_no()..=log.segment_no());
     let disk = settings.limits.disk_mb.max(64) << 20;
     let (due, due_rx) = watch::channel(0);
     tokio::spawn(sync_with_all(handle.clone(), ident.id, due_rx));
@@ -160,7 +157,7 @@
         began: Instant::now(),
         tables,
         log,
-        ends,
+        segments,
         due,
         status: stx,
         ending: false,
@@ -208,7 +205,10 @@
             }
             if Instant::now() >= sweep {
                 sweep = Instant::now() + Duration::from_secs(10);
-                self.sweep();
+                if let Err(e) = self.sweep() {
+                    spdlog::error!("{}", e);
+                    std::process::exit(3);
+                }
             }
         }
     }
@@ -242,10 +242,7 @@
             }
             StoreCommand::Keep(records, tx) => {
                 for (program, record) in records {
-                    let l = match record.program == program {
-                        true => Logged::Turn(record),
-                        false => Logged::Foreign { program, record },
-                    };
+                    let l = Logged::turn_of(program, record);
                     log.push(l.clone());
                     self.tables.take(l, now);
                 }
@@ -325,32 +322,29 @@
             return Ok(());
         }
         let now = self.began.elapsed();
-        let end = self.ends.entry(self.log.segment_no()).or_insert(Duration::ZERO);
-        *end = (*end).max(now + SEGMENT_KEPT);
-        for l in &log {
-            if let Logged::Turn(r) | Logged::Foreign { record: r, .. } = l {
-                *end = (*end).max(now + StoreTables::keep_for(r) * 2);
-            }
-            self.log.append(&encode(l));
-        }
+        let kept = log.iter().filter_map(Logged::turn).map(StoreTables::keep_for).max();
+        log.iter().for_each(|l| self.log.append(&encode(l)));
         self.log.sync()?;
+        // A faulty file may have sent them to a new segment.
+        self.segments.written(self.log.segment_no(), now, now + kept.unwrap_or_default() * 2);
         if self.log.segment_len() > self.segment_bytes {
             self.log.rotate()?;
         }
         Ok(())
     }
 
-    fn sweep(&mut self) {
+    fn sweep(&mut self) -> NodeResult<()> {
         let now = self.began.elapsed();
         self.tables.expire(now);
-        let keep = self
-            .ends
-            .iter()
-            .find(|(_, end)| **end > now)
-            .map_or(self.log.segment_no(), |(no, _)| *no);
-        if let Err(e) = self.log.drop_below(keep) {
+        let Some(removal) = self.segments.removable(now, self.log.segment_no()) else {
+            return Ok(());
+        };
+        let owed = self.tables.written_until(removal.written_until, now);
+        self.write(owed)?;
+        if let Err(e) = self.log.drop_below(removal.below) {
             spdlog::error!("{}", e);
         }
-        self.ends.retain(|no, _| *no >= keep);
+        self.segments.removed(removal);
+        Ok(())
     }
 }
--- a/crates/turn-store/src/prelude.rs
+++ b/crates/turn-store/src/prelude.rs
@@ -1,5 +1,5 @@
 //! The one module every file of this package imports.
-pub use crate::actor::{StoreCommand, StoreHandle};
+pub use crate::actor::{Removal, SegmentUses, StoreCommand, StoreHandle};
 pub use crate::history::{History, Learnt};
 pub use crate::tables::{Logged, StoreTables};
 pub use feed_follow::prelude::{follow_cells, FeedItem, FeedUpdate, FollowSettings};
--- a/crates/turn-store/src/tables/calls.rs
+++ b/crates/turn-store/src/tables/calls.rs
@@ -23,8 +23,8 @@
                 let caught_up = self.history.is_caught_up();
                 StoreReply::Found { caught_up, held, turns }
             }
-            StoreCall::Close { record, foreign, settle, .. } => {
-                self.close(record, foreign, settle, now, log)
+            StoreCall::Close { record, earlier, settle, .. } => {
+                self.close(record, earlier, settle, now, log)
             }
             StoreCall::Write { program, write, .. } => {
                 let outcome = self.write(&program, &write, now, log);
@@ -74,29 +74,51 @@
         StoreReply::Open(OpenReply { has_complete_history, outcome, view, later, held, turns })
     }
 
-    /// Keeps a turn. Under an epoch that has lost its authority nothing is kept.
+    /// Keeps a turn with its whole chain, or nothing: a store that kept a turn without those before it
+    /// would count as a copy of what it can't give back. Under an epoch that has lost its authority
+    /// nothing is kept either.
     fn close(
         &mut self,
         record: TurnRecord,
-        foreign: Vec<TurnRecord>,
+        earlier: Vec<TurnRecord>,
         settle: Option<LedgerWrite>,
         now: Duration,
         log: &mut Vec<Logged>,
     ) -> StoreReply {
+        let brought = |id: &String| earlier.iter().any(|turn| turn.id == *id);
+        let lacks = |id: &&String| !self.turns.contains_key(*id) && !brought(id);
+        let lacking: Vec<String> = record.chain.iter().filter(lacks).cloned().collect();
+        if !lacking.is_empty() {
+            return StoreReply::Lacks(lacking);
+        }
         if let Some(w) = settle {
             let outcome = self.write(&record.program, &w, now, log);
             if !outcome.is_granted() {
                 return StoreReply::Written { has_complete_history: true, outcome };
             }
         }
-        for f in foreign {
-            let program = record.program.clone();
-            self.take_logged(Logged::Foreign { program, record: f }, now, log);
+        for turn in earlier {
+            self.take_logged(Logged::turn_of(record.program.clone(), turn), now, log);
         }
+        self.link_chain(&record, now, log);
         self.take_logged(Logged::Turn(record), now, log);
         StoreReply::Done
     }
 
+    /// Turns of the chain that are here for another program are kept for this one as well, and all of
+    /// them as long as the turn.
+    fn link_chain(&mut self, record: &TurnRecord, now: Duration, log: &mut Vec<Logged>) {
+        let until = now + Self::keep_for(record);
+        for id in &record.chain {
+            let Some(row) = self.turns.get_mut(id) else { continue };
+            row.until = row.until.max(until);
+            if !self.programs.get(&record.program).is_some_and(|p| p.holds(id)) {
+                let earlier = row.record.clone();
+                self.take_logged(Logged::turn_of(record.program.clone(), earlier), now, log);
+            }
+        }
+    }
+
     /// A node spoke; gives back a later life of it, if one is known.
     fn hear(&mut self, claim: &Option<LedgerWrite>) -> Option<u64> {
         let Some(LedgerWrite::Claim { attempt, .. }) = claim else { return None };
--- a/crates/turn-store/src/tables/mod.rs
+++ b/crates/turn-store/src/tables/mod.rs
@@ -32,7 +32,25 @@
     },
 }
 
-/// Invariants: `lives` is what this process has heard; a turn is here from the moment
+impl Logged {
+    /// The turn that the record is about, if it is about one.
+    pub fn turn(&self) -> Option<&TurnRecord> {
+        match self {
+            Logged::Turn(record) | Logged::Foreign { record, .. } => Some(record),
+            Logged::Attempt { .. } => None,
+        }
+    }
+
+    /// A turn, kept with a program that may be another than it was made for.
+    pub fn turn_of(program: String, record: TurnRecord) -> Self {
+        match record.program == program {
+            true => Logged::Turn(record),
+            false => Logged::Foreign { program, record },
+        }
+    }
+}
+
+/// Invariants: whoever holds a turn holds its whole chain until the turn is dropped; `lives` is what this process has heard; a turn is here from the moment
 /// its record was given until `until`, which is never before its retention has passed.
 pub struct StoreTables {
     /// What this store may speak for.
@@ -76,6 +94,7 @@
             Logged::Attempt { program, record } => {
                 let p = self.program(&program);
                 p.keep_until(now + LEDGER_KEPT);
+                p.ledger_logged.get_or_insert(now);
                 p.ledger.replay(&record, now);
             }
         }
@@ -104,6 +123,9 @@
         let p = self.program(program);
         p.keep_until(now + LEDGER_KEPT);
         let done = p.ledger.apply(w, now, &lives);
+        if done.log.is_some() {
+            p.ledger_logged.get_or_insert(now);
+        }
         self.lives = lives;
         if let Some(record) = done.log {
             log.push(Logged::Attempt { program: program.to_string(), record });
--- a/crates/turn-store/src/tables/retention.rs
+++ b/crates/turn-store/src/tables/retention.rs
@@ -19,9 +19,7 @@
         let until = now + Self::keep_for(&record);
         let p = self.program(&program);
         p.keep_until(until);
-        if !p.turns.contains(&record.id) {
-            p.turns.push(record.id.clone());
-        }
+        p.turn_logged(&record.id, now);
         let row = self.turns.entry(record.id.clone()).or_insert(TurnRow { record, until });
         row.until = row.until.max(until);
     }
@@ -32,11 +30,30 @@
         self.turns.retain(|_, r| r.until > now);
         let turns = &self.turns;
         for p in self.programs.values_mut() {
-            p.turns.retain(|t| turns.contains_key(t));
+            p.turns.retain(|turn| turns.contains_key(&turn.id));
         }
         self.programs.retain(|_, p| p.until > now || !p.turns.is_empty());
     }
 
+    /// What is still kept of the records that were written up to a moment, to be written again before
+    /// the segments that hold them are removed.
+    pub fn written_until(&mut self, moment: Duration, now: Duration) -> Vec<Logged> {
+        let mut owed = Vec::new();
+        for (name, program) in &mut self.programs {
+            if program.ledger_logged.is_some_and(|at| at <= moment) {
+                program.ledger_logged = Some(now);
+                let records = program.ledger.records().cloned();
+                owed.extend(records.map(|r| Logged::Attempt { program: name.clone(), record: r }));
+            }
+            for turn in program.turns.iter_mut().filter(|turn| turn.logged <= moment) {
+                let Some(row) = self.turns.get(&turn.id) else { continue };
+                turn.logged = now;
+                owed.push(Logged::turn_of(name.clone(), row.record.clone()));
+            }
+        }
+        owed
+    }
+
     fn renew_chains(&mut self, now: Duration) {
         let mut renew: Vec<(String, Duration)> = Vec::new();
         for r in self.turns.values().filter(|r| r.until > now) {
--- a/crates/turn-store/src/tables/rows.rs
+++ b/crates/turn-store/src/tables/rows.rs
@@ -7,16 +7,43 @@
     pub(super) until: Duration,
 }
 
-/// Invariant: `turns` names the turns of the program that are here.
+/// A turn of a program, by its id.
+pub(super) struct HeldTurn {
+    pub(super) id: String,
+    /// When its newest record was written to the log.
+    pub(super) logged: Duration,
+}
+
+/// Invariants: `turns` names the turns of the program that are here; `ledger_logged` is none or not
+/// after the time at which any part of the ledger's newest state was written to the log.
 pub(super) struct Program {
     pub(super) ledger: ProgramLedger,
-    pub(super) turns: Vec<String>,
+    pub(super) ledger_logged: Option<Duration>,
+    pub(super) turns: Vec<HeldTurn>,
     pub(super) until: Duration,
 }
 
 impl Program {
     pub(super) fn new(limits: Limits) -> Self {
-        Program { ledger: ProgramLedger::new(limits), turns: Vec::new(), until: Duration::ZERO }
+        Program {
+            ledger: ProgramLedger::new(limits),
+            ledger_logged: None,
+            turns: Vec::new(),
+            until: Duration::ZERO,
+        }
+    }
+
+    /// Whether a turn is kept for this program.
+    pub(super) fn holds(&self, id: &str) -> bool {
+        self.turns.iter().any(|turn| turn.id == id)
+    }
+
+    /// A turn is written to the log for this program, perhaps once more.
+    pub(super) fn turn_logged(&mut self, id: &str, now: Duration) {
+        match self.turns.iter_mut().find(|turn| turn.id == id) {
+            Some(turn) => turn.logged = now,
+            None => self.turns.push(HeldTurn { id: id.to_string(), logged: now }),
+        }
     }
 
     /// Keeps the program at least until a moment.
--- a/crates/turn-store/src/tables/transfer.rs
+++ b/crates/turn-store/src/tables/transfer.rs
@@ -31,7 +31,8 @@
                 more = rows.last().map(|r: &SyncRow| r.program.clone());
                 break;
             }
-            let (ledger, turns) = (p.ledger.records().cloned().collect(), p.turns.clone());
+            let ledger = p.ledger.records().cloned().collect();
+            let turns = p.turns.iter().map(|turn| turn.id.clone()).collect();
             rows.push(SyncRow { program: program.clone(), ledger, turns });
         }
         StoreReply::Sync(SyncReply { caught_up: self.history.caught_up, rows, more })
@@ -56,7 +57,7 @@
     /// Turns held for another program already are kept for the row's as well.
     fn keep_turns_here(&mut self, row: &SyncRow, now: Duration, log: &mut Vec<Logged>) {
         for id in &row.turns {
-            let known = self.programs.get(&row.program).is_some_and(|p| p.turns.contains(id));
+            let known = self.programs.get(&row.program).is_some_and(|p| p.holds(id));
             let here = self.turns.get(id).map(|r| r.record.clone());
             if let (false, Some(record)) = (known, here) {
                 let program = row.program.clone();
--- a/crates/turn-store/tests/tables.rs
+++ b/crates/turn-store/tests/tables.rs
@@ -1,69 +1,8 @@
 //! A store's tables on traces and generated orders.
-use dispatcher::prelude::{Epoch, NewAttempt, Pinned};
-use turn_store::prelude::*;
-
-const FOUNDER: Option<VersionSpan> = Some(VersionSpan { from: 1, to: 1 });
-
-fn tables(caught_up: Option<VersionSpan>) -> StoreTables {
-    let mut h = History::new(1, caught_up);
-    h.learn(set_of(&[1, 2, 3]));
-    StoreTables::new(h, Limits::default())
-}
+mod common;
 
-fn set_of(ids: &[u64]) -> StoreSet {
-    StoreSet::default().next(|s| {
-        s.tolerated = 1;
-        s.stores = ids
-            .iter()
-            .map(|id| StoreEntry {
-                id: *id,
-                name: format!("s{id}"),
-                addr: String::new(),
-                zone: format!("z{id}"),
-                state: StoreState::Placed,
-                since: 1,
-                rank: *id,
-            })
-            .collect();
-    })
-}
-
-fn record(program: &str, id: &str, chain: &[&str]) -> TurnRecord {
-    TurnRecord {
-        id: id.into(),
-        chain: chain.iter().map(|s| s.to_string()).collect(),
-        program: program.into(),
-        input: ByteBuf::from(b"in".to_vec()),
-        output: ByteBuf::from(b"out\n".to_vec()),
-        engine: "i".into(),
-        line_tokens: 1,
-        keep_ms: 60_000,
-    }
-}
-
-fn attempt(req: u64, most: u32) -> NewAttempt {
-    let pinned = Pinned { service: "s".into(), deadline_ms: 6000, ..Pinned::default() };
-    let (node, incarnation) = (5, 100 + req);
-    NewAttempt {
-        req,
-        line: 7,
-        number: 0,
-        node,
-        incarnation,
-        consumed: None,
-        pinned,
-        most,
-        engine: None,
-    }
-}
-
-fn claim(a: NewAttempt) -> LedgerWrite {
-    LedgerWrite::Claim { attempt: a, lease: Duration::from_secs(60) }
-}
-
-fn settle(req: u64, epoch: Option<Epoch>, tokens: u32) -> LedgerWrite {
-    LedgerWrite::Settle { req, epoch, tokens, stopped: true, call: None }
-}
+use common::*;
+use turn_store::prelude::*;
 
 fn open(version: u64, req: u64, most: u32, prev: Option<&str>) -> StoreCall {
     StoreCall::Open(OpenCall {
@@ -75,12 +14,10 @@
     })
 }
 
-fn close(r: TurnRecord, foreign: Vec<TurnRecord>) -> StoreCall {
-    StoreCall::Close { version: 1, record: r, foreign, settle: Some(settle(1, None, 5)) }
+fn close(r: TurnRecord, earlier: Vec<TurnRecord>) -> StoreCall {
+    StoreCall::Close { version: 1, record: r, earlier, settle: Some(settle(1, None, 5)) }
 }
 
-const NOW: Duration = Duration::from_secs(1);
-
 #[test]
 fn a_recorded_turn_is_found_with_its_chain_until_its_time_is_over() {
     let mut t = tables(FOUNDER);
@@ -168,9 +105,9 @@
         panic!()
     };
     assert!(matches!(outcome, WriteOutcome::Recovered { call: None, .. }));
-    let (record, foreign) = (record("p", "a", &[]), Vec::new());
+    let (record, earlier) = (record("p", "a", &[]), Vec::new());
     let late =
-        StoreCall::Close { version: 1, record, foreign, settle: Some(settle(1, Some(epoch), 5)) };
+        StoreCall::Close { version: 1, record, earlier, settle: Some(settle(1, Some(epoch), 5)) };
     let StoreReply::Written { outcome, .. } = t.call(late, NOW, &mut log) else { panic!() };
     assert!(matches!(outcome, WriteOutcome::Fenced { .. }));
     assert!(!t.has_turn("a"));
