--- a/crates/inner-protocol/src/stores/mod.rs
+++ b/crates/inner-protocol/src/stores/mod.rs
@@ -143,15 +143,15 @@
         /// The turn.
         id: String,
     },
-    /// Keeps a turn and settles its attempt. `foreign` are the turns before it, where these are
-    /// another program's.
+    /// Keeps a turn and settles its attempt. `earlier` are turns of its chain that the store said it
+    /// lacks: whoever keeps a turn keeps its whole chain.
     Close {
         /// The version of the set that it is made under.
         version: u64,
         /// The turn.
         record: TurnRecord,
-        /// Turns of other programs in its chain.
-        foreign: Vec<TurnRecord>,
+        /// Turns of its chain that the store lacks.
+        earlier: Vec<TurnRecord>,
         /// The attempt's settlement, which must be granted for the turn to be kept.
         settle: Option<LedgerWrite>,
     },
@@ -201,6 +201,8 @@
     },
     /// It is done, and synced.
     Done,
+    /// The store lacks these turns of the chain, oldest first: nothing was kept.
+    Lacks(Vec<String>),
     /// To `Write`, and to a `Close` whose settlement was not granted.
     Written {
         /// Whether the answer counts.
