Drain: a leaving proxy takes only work that it can finish

Cause: Unlisting and Closing admitted like Serving until the end, so that where the entry goes on sending (all fronts of a zone, or of the site, leave at once) requests were taken and sent on until half a second before the grace was over, and cut there.

Change: an admission rule (life/admission.rs, pure). While a proxy leaves, a request begins only if it is expected to end before the grace less a reserve: expected from the longest runs of late of its route and size class, and the longest waits before them, with a quarter's margin (life/work.rs), or from its own deadline and its route's timeout where too little was observed. It is asked when a request has been read, before anything is claimed or queued, and again just before each pass to an engine; what is refused then has its claim settled at nothing. Refused is 503 with Retry-After and Connection: close. All times of a drain come from gracePeriodS in one place (life/drain.rs). At the end the listener goes first, then connections on which nothing is under way; what was read whole and has no answer begun gets 503 (never sent) or 502 instead of a closed connection. Before, the listener went on accepting for up to 0.14 s after the life had ended, and what came then waited 1.5 s for a start that didn't come.

--- a/crates/request-proxy/src/app/mod.rs
+++ b/crates/request-proxy/src/app/mod.rs
@@ -27,7 +27,7 @@
 }
 
 /// The proxy's whole state, passed down by reference. Lock order: `live`, `life`, `sched`, `tickets`,
-/// the pool's, the bank's, the trial's; none is held over a wait.
+/// the pool's, the bank's, the trial's, `admission`; none is held over a wait.
 pub struct App {
     /// The settings of this process.
     pub settings: SharedSettings,
@@ -47,6 +47,8 @@
     pub bank: Arc<TurnBank>,
     /// The routing trial, as far as this node has a part in it.
     pub trial: TrialDesk,
+    /// Which work may begin, once the proxy is leaving.
+    pub admission: Mutex<Admission>,
 }
 
 /// A poisoned lock means a broken invariant: its holder has panicked, which ends the process.
@@ -71,6 +73,7 @@
             pool: Pool::new(),
             bank: Arc::new(TurnBank::new(&shared, cache_bytes)),
             trial: TrialDesk::new(&settings.node_name),
+            admission: Mutex::new(Admission::default()),
             settings: shared,
         })
     }
@@ -80,6 +83,16 @@
         self.began.elapsed()
     }
 
+    /// A time since the start as a moment that tasks can sleep until.
+    pub fn at(&self, since_start: Duration) -> tokio::time::Instant {
+        (self.began + since_start).into()
+    }
+
+    /// A moment as a time since the start.
+    pub fn since_start(&self, moment: Instant) -> Duration {
+        moment.saturating_duration_since(self.began)
+    }
+
     /// The configuration in force.
     pub fn live(&self) -> Option<Arc<Live>> {
         locked(&self.live).clone()
@@ -111,15 +124,29 @@
         }
     }
 
-    /// Waits until requests are admitted; false when that takes too long.
+    /// Waits until requests are admitted; false when that takes too long, or when the life has ended.
     pub async fn admitted(&self, until: Instant) -> bool {
-        let out = locked(&self.life_out).as_ref().map(watch::Sender::subscribe);
-        let Some(mut life) = out else {
+        let Some(mut life) = self.follow_life() else {
             return false;
         };
-        let taken = life.wait_for(LifeState::admits);
-        let got = tokio::time::timeout_at(until.into(), taken).await;
-        matches!(got, Ok(Ok(_)))
+        let started = life.wait_for(|state| !state.starting_now());
+        let got = tokio::time::timeout_at(until.into(), started).await;
+        matches!(got, Ok(Ok(state)) if state.admits())
+    }
+
+    /// Waits until the life has ended.
+    pub async fn life_ended(&self) {
+        if let Some(mut life) = self.follow_life() {
+            if life.wait_for(LifeState::ended_now).await.is_ok() {
+                return;
+            }
+        }
+        // Nobody is left to end it.
+        std::future::pending().await
+    }
+
+    fn follow_life(&self) -> Option<watch::Receiver<LifeState>> {
+        locked(&self.life_out).as_ref().map(watch::Sender::subscribe)
     }
 
     /// Ends a grant and hands what becomes free to those that wait.
--- a/crates/request-proxy/src/door/serve.rs
+++ b/crates/request-proxy/src/door/serve.rs
@@ -36,7 +36,8 @@
 }
 
 /// Takes connections until the life ends. While it is closing, whatever the entry still sends is
-/// served, one answer a connection; it ends once nothing has been under way for a moment.
+/// answered, one answer a connection; it ends once there has been no connection for a moment. Then
+/// nothing listens any more, and what is left has its end.
 pub async fn serve_front(
     listener: TcpListener,
     app: Arc<App>,
@@ -48,6 +49,9 @@
     let mut calm = 0;
     loop {
         let now = life.borrow_and_update().clone();
+        if now.ended_now() {
+            break;
+        }
         let next = tokio::select! {
             r = life.changed() => {
                 if r.is_err() {
@@ -59,8 +63,8 @@
             _ = tokio::time::sleep(LOOK), if !now.listens() => {
                 let idle = room.available_permits() == most;
                 calm = if idle { calm + 1 } else { 0 };
-                if calm >= CALM_LOOKS || matches!(now, LifeState::Ended {}) {
-                    return;
+                if calm >= CALM_LOOKS {
+                    break;
                 }
                 continue;
             }
@@ -73,6 +77,8 @@
             drop(place);
         });
     }
+    drop(listener);
+    let _ = room.acquire_many(most as u32).await;
 }
 
 const LOOK: Duration = Duration::from_millis(40);
@@ -129,12 +135,7 @@
     tokio::pin!(conn);
     // One taken while the proxy is closing has its answer first.
     if !life.borrow_and_update().listens() {
-        while tokio::time::timeout(idle_time(&app), conn.as_mut()).await.is_err() {
-            if rest.until(Duration::ZERO).is_some() {
-                return;
-            }
-        }
-        return;
+        return finish(conn, &rest, &mut life, head_time(&app)).await;
     }
     let mut timer = Box::pin(tokio::time::sleep(Duration::ZERO));
     loop {
@@ -160,12 +161,29 @@
         };
         if over {
             conn.as_mut().graceful_shutdown();
-            // A head that was begun may still come to its end; what was taken has its answer.
-            while tokio::time::timeout(head_time(&app), conn.as_mut()).await.is_err() {
-                if rest.until(Duration::ZERO).is_some() {
-                    return;
-                }
-            }
+            return finish(conn, &rest, &mut life, head_time(&app)).await;
+        }
+    }
+}
+
+/// Waits until what was taken has its answer. A head that was begun may come to its end within
+/// `head_time`, but none once the life has ended: what wasn't read whole is asked elsewhere.
+async fn finish(
+    mut conn: Pin<&mut impl Future>,
+    rest: &RestWatch,
+    life: &mut watch::Receiver<LifeState>,
+    head_time: Duration,
+) {
+    let mut ended = false;
+    loop {
+        // The connection is looked at first: whatever was read counts as taken.
+        tokio::select! {
+            biased;
+            _ = conn.as_mut() => return,
+            _ = life.wait_for(LifeState::ended_now), if !ended => ended = true,
+            _ = tokio::time::sleep(head_time) => {}
+        }
+        if rest.until(Duration::ZERO).is_some() {
             return;
         }
     }
--- a/crates/request-proxy/src/flow/mod.rs
+++ b/crates/request-proxy/src/flow/mod.rs
@@ -5,7 +5,10 @@
 mod plain;
 mod turn;
 
+use crate::app::locked;
 use crate::prelude::*;
+use crate::relay::latest_close;
+use std::sync::OnceLock;
 
 /// What the stages of one request share. Invariant: `until` is never later than what the client and
 /// the operator allow.
@@ -26,8 +29,14 @@
     pub began: Instant,
     /// When its time is over.
     pub until: Instant,
+    /// When its body had been read.
+    pub arrived: Instant,
+    /// What its time depends on.
+    pub size: WorkSize,
+    /// When it was first passed to an engine.
+    pub first_sent: OnceLock<Instant>,
     /// The turn's place in a routing trial, once its session is known.
-    pub placement: std::sync::OnceLock<TrialPlacement>,
+    pub placement: OnceLock<TrialPlacement>,
 }
 
 impl Job<'_> {
@@ -55,8 +64,53 @@
             (base + 1).min(9)
         }
     }
+
+    /// Refuses work that can't be expected to end before this process does.
+    fn may_begin(&self, stage: WorkStage) -> Result<(), OwnAnswer> {
+        let over = match self.route.kind {
+            RouteKind::Streaming => latest_close(self.until, self.began + self.route.timeout),
+            _ => self.until,
+        };
+        let work = Work { size: self.size, stage, over: self.app.since_start(over) };
+        match locked(&self.app.admission).decide(&work, self.app.now()) {
+            Verdict::Admit => Ok(()),
+            Verdict::Refuse { retry_after } => {
+                Err(OwnAnswer::Refused { after: retry_after, why: LEAVING })
+            }
+        }
+    }
+
+    /// Asked just before an engine is reached: whatever it waited for, its time here may have run out.
+    pub fn pass_on(&self) -> Result<(), OwnAnswer> {
+        self.may_begin(WorkStage::Placed)?;
+        if self.first_sent.set(Instant::now()).is_ok() {
+            locked(&self.app.admission).history.waited(self.size, self.arrived.elapsed());
+        }
+        Ok(())
+    }
+
+    /// Takes note of how long the engine's answer took, or of its having had all the time there was.
+    fn took(&self, res: &Result<Response<ProxyBody>, OwnAnswer>) {
+        let whole = match res {
+            Ok(r) => matches!(r.body(), ProxyBody::Whole(_)),
+            Err(a) => *a == OwnAnswer::Late,
+        };
+        if let (true, Some(sent)) = (whole, self.first_sent.get()) {
+            locked(&self.app.admission).history.ran(self.size, sent.elapsed());
+        }
+    }
+
+    /// The answer to what is still under way when the process ends.
+    fn cut_short(&self) -> OwnAnswer {
+        match self.first_sent.get() {
+            Some(_) => OwnAnswer::Lost(LEAVING),
+            None => OwnAnswer::refused(100, LEAVING),
+        }
+    }
 }
 
+const LEAVING: &str = "this machine is leaving";
+
 /// Kept of the client's time for the answer's return.
 const RETURN_TIME: Duration = Duration::from_millis(15);
 
@@ -85,7 +139,12 @@
     let time =
         head.deadline.map_or(route.timeout, |b| b.saturating_sub(RETURN_TIME).min(route.timeout));
     let until = began + time;
-    let body = match read_body(body, live.body_bytes, until).await {
+    let body = tokio::select! {
+        biased;
+        read = read_body(body, live.body_bytes, until) => read,
+        () = app.life_ended() => Err(OwnAnswer::refused(100, LEAVING)),
+    };
+    let body = match body {
         Ok(b) => b,
         Err(a) => return a.into_response(id),
     };
@@ -99,12 +158,20 @@
         head: &head,
         began,
         until,
-        placement: Default::default(),
+        arrived: Instant::now(),
+        size: WorkSize {
+            route: fnv64(route.name.as_bytes()),
+            most_out: head.tokens.map_or(0, |(_, most_out)| most_out),
+        },
+        first_sent: OnceLock::new(),
+        placement: OnceLock::new(),
     };
-    let res = match route.kind {
-        RouteKind::Streaming => turn::run(&job, body).await,
-        _ => plain::run(&job, body).await,
+    let res = tokio::select! {
+        biased;
+        res = run(&job, body) => res,
+        () = app.life_ended() => Err(job.cut_short()),
     };
+    job.took(&res);
     if let Some(s) = job.placement.get() {
         app.trial.answered(s, &res);
     }
@@ -120,6 +187,14 @@
     }
 }
 
+async fn run(job: &Job<'_>, body: Bytes) -> Result<Response<ProxyBody>, OwnAnswer> {
+    job.may_begin(WorkStage::Arrived)?;
+    match job.route.kind {
+        RouteKind::Streaming => turn::run(job, body).await,
+        _ => plain::run(job, body).await,
+    }
+}
+
 async fn read_body(body: Incoming, most: usize, until: Instant) -> Result<Bytes, OwnAnswer> {
     if hyper::body::Body::is_end_stream(&body) {
         return Ok(Bytes::new());
--- a/crates/request-proxy/src/flow/plain.rs
+++ b/crates/request-proxy/src/flow/plain.rs
@@ -121,7 +121,7 @@
             until: job.until,
             urgency: job.urgency(),
             repeatable,
-            route: fnv64(job.route.name.as_bytes()),
+            route: job.size.route,
         };
         Box::pin(send.run(held, g))
     };
@@ -134,6 +134,9 @@
         let Some(g) = held.grant().cloned() else {
             return Err(OwnAnswer::refused(100, "no engine can take it in time"));
         };
+        if let Err(refusal) = job.pass_on() {
+            return Err(lost.map_or(refusal, OwnAnswer::Lost));
+        }
         if tried.is_empty() {
             locked(&app.sched).evidence.first_send(&job.service, app.now());
         }
@@ -231,7 +234,7 @@
     let Ok(held) = place(job, ask_of(job, tried)).await else {
         return first.await;
     };
-    let Some(g) = held.grant().cloned() else {
+    let Some(g) = held.grant().cloned().filter(|_| job.pass_on().is_ok()) else {
         return first.await;
     };
     tried.push(g.key);
--- a/crates/request-proxy/src/flow/turn.rs
+++ b/crates/request-proxy/src/flow/turn.rs
@@ -197,6 +197,7 @@
             "turn {} on {} {:?} hit {} fresh {}",
             head.request_id, g.id, g.reason, g.hit, g.fresh
         );
+        job.pass_on()?;
         attempt.stopped = false;
         let alone = locked(&app.sched).engines.get(g.key).is_some_and(|e| e.own <= 2);
         let sent_at = Instant::now();
@@ -262,6 +263,7 @@
                         .and_then(|s| s.engine.as_ref())
                         .map_or(1, |e| e.stride),
                     sent_at,
+                    size: job.size,
                     gap_aim: job.route.gap_aim,
                     until: job.until,
                     route_until: job.began + job.route.timeout,
--- /dev/null
+++ b/crates/request-proxy/src/life/admission.rs
@@ -0,0 +1,89 @@
+//! Which work a proxy takes: all of it while it serves, and while it drains what is expected to end before
+//! the process does. Pure: times count from the process's start.
+//!
+//! Invariant: work that takes no longer than the longest of late, by a quarter more, or whose own time is
+//! over before, ends within the drain if it was admitted.
+use super::drain::DrainClock;
+use super::work::{WorkHistory, WorkSize};
+use crate::prelude::*;
+
+/// Where a request stands when it is asked whether its work may begin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkStage {
+    /// Read whole; nothing is claimed or queued.
+    Arrived,
+    /// About to be passed to an engine.
+    Placed,
+}
+
+/// Work that asks to begin.
+#[derive(Debug, Clone, Copy)]
+pub struct Work {
+    /// Its size.
+    pub size: WorkSize,
+    /// How far it has come.
+    pub stage: WorkStage,
+    /// When its own time is over: by then it has been answered or given up, whatever it takes.
+    pub over: Duration,
+}
+
+/// Whether work may begin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It ends before the process does.
+    Admit,
+    /// It can't be expected to; another proxy may take it.
+    Refuse {
+        /// When its client may come again.
+        retry_after: Duration,
+    },
+}
+
+/// By so much work may take longer than the longest of late: others that leave at the same time send
+/// theirs to the engines that this proxy uses.
+fn with_margin(longest: Duration) -> Duration {
+    longest + longest / 4
+}
+
+/// The connection that a client opens next goes to another machine.
+const TRY_ANOTHER: Duration = Duration::from_millis(100);
+
+/// The admission rule, and what it is based on. Invariant: a drain that has begun is never taken back.
+#[derive(Debug, Default)]
+pub struct Admission {
+    /// What work took here.
+    pub history: WorkHistory,
+    drain: Option<DrainClock>,
+}
+
+impl Admission {
+    /// From now on only what ends by the clock's `work_ends` is admitted.
+    pub fn begin_drain(&mut self, clock: DrainClock) {
+        self.drain.get_or_insert(clock);
+    }
+
+    /// Whether work may begin now.
+    pub fn decide(&self, work: &Work, now: Duration) -> Verdict {
+        let Some(drain) = self.drain else {
+            return Verdict::Admit;
+        };
+        let ends = match self.expected(work) {
+            Some(takes) => work.over.min(now + takes),
+            None => work.over,
+        };
+        match ends <= drain.work_ends() {
+            true => Verdict::Admit,
+            false => Verdict::Refuse { retry_after: TRY_ANOTHER },
+        }
+    }
+
+    /// How long it takes from this stage on; none while too little was observed.
+    fn expected(&self, work: &Work) -> Option<Duration> {
+        let run = self.history.longest_run(work.size)?;
+        let wait = match work.stage {
+            WorkStage::Arrived => self.history.longest_wait(work.size)?,
+            WorkStage::Placed => Duration::ZERO,
+        };
+        Some(with_margin(wait + run))
+    }
+}
--- a/crates/request-proxy/src/life/machine.rs
+++ b/crates/request-proxy/src/life/machine.rs
@@ -40,7 +40,7 @@
         }
     }
 
-    /// Unready, still taking what the entry sends; each answer closes its connection.
+    /// Unready, still taking what the entry sends and what can end here; each answer closes its connection.
     #[state]
     pub fn unlisting(event: &LifeEvent) -> Response<State> {
         match event {
@@ -50,7 +50,7 @@
         }
     }
 
-    /// Idle connections are closed and what is under way is finished; what still comes is served.
+    /// Idle connections are closed and what is under way is finished; what still comes is served if it can end here.
     #[state]
     pub fn closing(event: &LifeEvent) -> Response<State> {
         match event {
@@ -78,12 +78,22 @@
         State::Closing {}
     }
 
+    /// It has learned nothing yet.
+    pub fn starting_now(&self) -> bool {
+        matches!(self, State::Starting {})
+    }
+
+    /// Nothing more is taken or answered.
+    pub fn ended_now(&self) -> bool {
+        matches!(self, State::Ended {})
+    }
+
     /// The entry may send new connections.
     pub fn ready(&self) -> bool {
         matches!(self, State::Serving {})
     }
 
-    /// Requests are admitted.
+    /// Requests are admitted, as far as `Admission` lets them.
     pub fn admits(&self) -> bool {
         matches!(self, State::Serving {} | State::Unlisting {} | State::Closing {})
     }
--- a/crates/request-proxy/src/life/mod.rs
+++ b/crates/request-proxy/src/life/mod.rs
@@ -1,30 +1,49 @@
-//! The life of a proxy, as a statig machine, and its end in order.
+//! The life of a proxy: its states, which work it takes, and its end in order.
 #![deny(missing_docs)]
+mod admission;
+mod drain;
 // statig writes the enum of the states; their meaning stands on its functions.
 #[allow(missing_docs)]
 mod machine;
+mod work;
 
+pub use admission::{Admission, Verdict, Work, WorkStage};
+pub use drain::DrainClock;
 pub use machine::{Life, LifeEvent, LifeState};
+pub use work::{WorkHistory, WorkSize};
 
+use crate::app::locked;
 use crate::prelude::*;
 
-/// The entry asks each second and needs two misses; until then it sends new connections here.
-const ENTRY_NOTICES: Duration = Duration::from_millis(2600);
-/// Kept of the grace so that the process ends before it is ended.
-const RESERVE: Duration = Duration::from_millis(500);
+/// What was settled or released last goes out in the process's last moments.
+const LAST_MESSAGES: Duration = Duration::from_millis(100);
 
-/// Unready at once; takes what the entry still sends; then closes idle connections in order, finishes
-/// every answer under way and ends when nothing more comes.
-pub async fn end_in_order(app: &Arc<App>, serving: tokio::task::JoinHandle<()>, grace: Duration) {
-    let began = Instant::now();
+/// Unready at once; goes on taking connections and admits what it can finish; once the entry has had time
+/// to notice closes idle connections in order; ends when nothing more comes, or when its time is over.
+pub async fn end_in_order(
+    app: &Arc<App>,
+    mut serving: tokio::task::JoinHandle<()>,
+    grace: Duration,
+) {
+    let clock = DrainClock::new(app.now(), grace);
+    locked(&app.admission).begin_drain(clock);
     app.live_on(LifeEvent::Term);
-    tokio::time::sleep(ENTRY_NOTICES.min(grace / 3)).await;
-    app.live_on(LifeEvent::Unlisted);
-    let left = grace.saturating_sub(began.elapsed()).saturating_sub(RESERVE);
-    let _ = tokio::time::timeout(left, serving).await;
+    let calm = async {
+        tokio::time::sleep_until(app.at(clock.entry_notices())).await;
+        app.live_on(LifeEvent::Unlisted);
+        std::future::pending::<()>().await
+    };
+    tokio::select! {
+        _ = &mut serving => {}
+        () = calm => {}
+        () = tokio::time::sleep_until(app.at(clock.work_ends())) => {}
+    }
     app.live_on(LifeEvent::Done);
+    // Connections on which nothing is under way are closed; what is still asked is refused.
+    if !serving.is_finished() {
+        let _ = tokio::time::timeout_at(app.at(clock.process_ends()), serving).await;
+    }
     app.bank.release_all();
     app.tell_outcomes();
-    // What was settled or released last still goes out.
-    tokio::time::sleep(Duration::from_millis(100)).await;
+    tokio::time::sleep(LAST_MESSAGES.min(grace / 64)).await;
 }
--- a/crates/request-proxy/src/prelude.rs
+++ b/crates/request-proxy/src/prelude.rs
@@ -1,7 +1,10 @@
 //! The one module every file of this package imports.
 pub use crate::app::{App, Live, TrialDesk, TrialPlacement};
 pub use crate::door::{Head, HeadFault, OwnAnswer, ProxyBody};
-pub use crate::life::{Life, LifeEvent, LifeState};
+pub use crate::life::{
+    Admission, DrainClock, Life, LifeEvent, LifeState, Verdict, Work, WorkHistory, WorkSize,
+    WorkStage,
+};
 pub use crate::relay::{EventFault, EventReader, RelayBody};
 pub use crate::sending::{Lease, Pool, SendOutcome};
 pub use crate::turns::{
--- a/crates/request-proxy/src/relay/body.rs
+++ b/crates/request-proxy/src/relay/body.rs
@@ -20,6 +20,8 @@
     pub stride: u32,
     /// When it was sent to its engine.
     pub sent_at: Instant,
+    /// What its time depends on.
+    pub size: WorkSize,
     /// The longest pause between events that keeps the answer in time.
     pub gap_aim: Duration,
     /// When its time is over.
@@ -91,6 +93,11 @@
 const CLOSE_MORE: Duration = Duration::from_millis(600);
 const PAST_ROUTE: Duration = Duration::from_millis(200);
 
+/// When a stream has come to its end whatever happens: closed and its turn kept, or given up.
+pub fn latest_close(until: Instant, route_until: Instant) -> Instant {
+    (until + CLOSE_MORE).min(route_until + PAST_ROUTE)
+}
+
 impl RelayBody {
     /// A stream that begins now.
     pub fn new(inner: Incoming, lease: Lease, end: StreamEnd) -> Self {
@@ -119,6 +126,7 @@
                     Poll::Ready(kept) => {
                         self.stage = Stage::Over;
                         self.came_to(kept);
+                        self.took();
                         if kept {
                             return Poll::Ready(None);
                         }
@@ -190,10 +198,13 @@
 
     /// `kind` is what the engine did; none when the stream's time is over.
     fn broke_off(&mut self, kind: Option<FailureKind>) -> Poll<Option<Result<Bytes, ()>>> {
-        if let Some(kind) = kind {
-            self.inner = None;
-            let app = &self.end.app;
-            locked(&app.sched).failed(&self.end.grant, kind, app.now());
+        match kind {
+            Some(kind) => {
+                self.inner = None;
+                let app = &self.end.app;
+                locked(&app.sched).failed(&self.end.grant, kind, app.now());
+            }
+            None => self.took(),
         }
         info!("stream broke off", kv: { request = self.end.request_id, events = self.reader.events });
         self.came_to(false);
@@ -202,6 +213,12 @@
         Poll::Ready(Some(Err(())))
     }
 
+    /// Takes note of how long the stream took until it was whole, or its time over.
+    fn took(&self) {
+        let took = self.end.sent_at.elapsed();
+        locked(&self.end.app.admission).history.ran(self.end.size, took);
+    }
+
     /// Counts the turn in a routing trial, once.
     fn came_to(&mut self, whole: bool) {
         let Some(s) = self.end.placement.take() else {
@@ -240,12 +257,13 @@
                 if let Some(c) = claim {
                     app.bank.settle(&c, tokens, Evidence::WholeAnswer.proves_stop());
                 }
+                self.took();
                 Stage::Over
             }
             Some(mut t) => {
                 (t.tokens, t.claim) = (tokens, claim);
                 t.record.output = ByteBuf::from(std::mem::take(&mut self.reader.output));
-                let until = (self.end.until + CLOSE_MORE).min(self.end.route_until + PAST_ROUTE);
+                let until = latest_close(self.end.until, self.end.route_until);
                 Stage::Closing(Box::pin(async move { app.bank.close(t, until).await }))
             }
         };
