Stores: a newcomer waits until nobody can be its predecessor; history is proved by placement

Cause: a store was taken for one more while its predecessor had been silent for less than 0.9 s; the dead one stayed placed for 10 s where 1.5 s of silence give a place away, and each of its programs had one copy fewer than T + 1. Change: one more is placed only if every store of the set reported heard_margin after the newcomer's first report; where none can be spared a dead store gives way to a newcomer of any zone; a dead one goes after remove_after where a whole group stays, later only where more are silent than may be lost. A store that was taken out and returns comes in at once where the others can't prove their history without it. Caught up is proved per placement for every group there may be, instead of by counting the missing and the lost; transfers cover what a store was assigned under any placement that is remembered, so that its span has no gaps and others can rest their proofs on it. A store that is gone and back doesn't set back the others: they kept all that they keep now.

--- a/crates/control-cell/src/duties/recovery_bounds.rs
+++ b/crates/control-cell/src/duties/recovery_bounds.rs
@@ -5,7 +5,7 @@
 
 /// Waits of the leader's duties.
 ///
-/// Invariant: `heard_margin < replace_after < remove_after`, and `remove_after` leaves at least
+/// Invariant: `heard_margin < replace_after < remove_after < give_up_after`, and `remove_after` leaves at least
 /// `restore` of `catchUpS` for agreeing on the step and for transferring what was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RecoveryBounds {
@@ -16,6 +16,8 @@
     pub replace_after: Duration,
     /// Silence after which a machine is taken out without a successor, where it can be spared.
     pub remove_after: Duration,
+    /// The same where more machines are silent than may be lost at once: they are expected back.
+    pub give_up_after: Duration,
     /// What is left of `catchUpS` after `remove_after`.
     pub restore: Duration,
 }
@@ -28,6 +30,7 @@
             heard_margin: catch_up / 10,
             replace_after: catch_up * 3 / 10,
             remove_after,
+            give_up_after: catch_up * 2,
             restore: catch_up - remove_after,
         }
     }
--- a/crates/control-cell/src/duties/stores.rs
+++ b/crates/control-cell/src/duties/stores.rs
@@ -2,6 +2,11 @@
 //! and a planned step is taken only once every placed store is proved to be caught up under the one
 //! before: a status report names versions that are on the store's disk, so an old one proves no more
 //! than it says. Each step records in the set what the reports prove.
+//!
+//! A newcomer comes either in the place of a store that is gone, or as one more once each store of the
+//! set has reported after the newcomer did, so that none of them can be its predecessor. A store that
+//! is gone is never waited for longer than `RecoveryBounds` says, and one that comes back with its disk
+//! is taken in again without waiting for the others where they can't prove their history without it.
 use crate::prelude::*;
 
 /// What the leader has seen of a store: its newest status report, and how long ago.
@@ -15,14 +20,6 @@
     pub known_for: Duration,
 }
 
-/// A store is at work when it was heard within this.
-const AT_WORK: Duration = Duration::from_millis(1500);
-/// A store may be added only while every other was heard within this: one that is silent for longer may
-/// be the one that the newcomer replaces.
-const ALL_HEARD: Duration = Duration::from_millis(900);
-/// How long the first leader waits for stores before it founds the set.
-const FOUNDING: Duration = Duration::from_millis(1500);
-
 fn entry(s: &StoreStatus, since: u64, rank: u64) -> StoreEntry {
     StoreEntry {
         id: s.id,
@@ -57,7 +54,7 @@
     if set.stores.is_empty() && set.version == 0 {
         return observed.founded(tolerated);
     }
-    let arrival = || observed.heard().find_map(|s| observed.taken_in(&s.status));
+    let arrival = || observed.at_work().find_map(|s| observed.taken_in(s));
     arrival()
         .or_else(|| observed.without_a_dead_store())
         .or_else(|| observed.without_the_leaving())
@@ -68,7 +65,7 @@
     fn founded(&self, tolerated: u32) -> Option<StoreSet> {
         let founders: Vec<&StoreObservation> =
             self.seen.iter().filter(|s| !s.status.fresh).collect();
-        if founders.is_empty() || self.calm < FOUNDING {
+        if founders.is_empty() || self.calm < self.bounds.replace_after {
             return None;
         }
         Some(self.set.next(|n| {
@@ -99,14 +96,23 @@
         self.observation(id).map_or(self.calm, |s| s.silent.min(self.calm))
     }
 
-    /// Stores at work.
-    fn heard(&self) -> impl Iterator<Item = &StoreObservation> {
-        self.seen.iter().filter(|s| s.silent < AT_WORK)
+    /// Stores that reported lately.
+    fn at_work(&self) -> impl Iterator<Item = &StoreObservation> {
+        self.seen.iter().filter(|s| s.silent < self.bounds.replace_after)
+    }
+
+    fn is_at_work(&self, id: u64) -> bool {
+        self.silent(id) < self.bounds.replace_after
+    }
+
+    /// Whether a whole group stays placed when one store goes.
+    fn can_spare_one(&self) -> bool {
+        self.set.placed() > self.set.group_size()
     }
 
     /// Takes in a store that the set doesn't have.
-    fn taken_in(&self, status: &StoreStatus) -> Option<StoreSet> {
-        let set = self.set;
+    fn taken_in(&self, newcomer: &StoreObservation) -> Option<StoreSet> {
+        let (set, status) = (self.set, &newcomer.status);
         let known = set.find(status.id).is_some() || set.superseded.contains(&status.id);
         if known || status.ending {
             return None;
@@ -115,26 +121,42 @@
             return self.without_the_lost_disk(status);
         }
         if let Some(old) = self.predecessor(status) {
-            let drains = old.addr != status.addr && self.silent(old.id) < AT_WORK;
+            let drains = old.addr != status.addr && self.is_at_work(old.id);
             return Some(self.succeeded(old, status, drains));
         }
-        let all_heard = set.stores.iter().all(|e| self.silent(e.id) < ALL_HEARD);
-        if !(self.all_caught_up() && all_heard) {
+        let returns = set.placements.iter().any(|p| p.has(status.id)) && set.lacks_proof();
+        if !(returns || self.replaces_nobody(newcomer) && self.all_caught_up()) {
             return None;
         }
         let rank = set.free_rank(&status.name);
         Some(self.step(|n| n.stores.push(entry(status, n.version, rank))))
     }
 
+    /// Every store of the set is at work and reported after this one's first report had come: none is
+    /// the one that it replaces. One that this leader hasn't heard of yet may be.
+    fn replaces_nobody(&self, newcomer: &StoreObservation) -> bool {
+        let later = |id: u64| {
+            self.observation(id)
+                .is_some_and(|s| s.silent + self.bounds.heard_margin <= newcomer.known_for)
+        };
+        self.set.stores.iter().all(|e| later(e.id) && self.is_at_work(e.id))
+    }
+
     /// Whose place a newcomer takes: that of its own lost disk or of the machine whose name it bears, of
-    /// one at its address, or of a silent one in its zone.
+    /// one at its address, or of the one in its zone that is silent for longest. Where no store can be
+    /// spared every group is all stores: a dead one then gives way to a newcomer of any zone.
     fn predecessor(&self, status: &StoreStatus) -> Option<&StoreEntry> {
-        let placed = || self.set.stores.iter().filter(|e| e.state == StoreState::Placed);
+        let stores = || self.set.stores.iter();
+        let placed = || stores().filter(|e| e.state == StoreState::Placed);
         let silent = |e: &&StoreEntry| {
             e.zone == status.zone && self.silent(e.id) > self.bounds.replace_after
         };
+        let dead =
+            |e: &&StoreEntry| !self.can_spare_one() && self.silent(e.id) > self.bounds.remove_after;
         let named = placed().find(|e| e.name == status.name || e.addr == status.addr);
-        named.or_else(|| self.set.stores.iter().find(silent))
+        named
+            .or_else(|| stores().filter(silent).max_by_key(|e| self.silent(e.id)))
+            .or_else(|| placed().filter(dead).max_by_key(|e| self.silent(e.id)))
     }
 
     /// A newcomer takes the place of `old`, which transfers what it holds where it `drains` beside it.
@@ -160,7 +182,7 @@
     /// A machine that is being retired lost its disk: the order holds, and the machine isn't taken in.
     fn without_the_lost_disk(&self, status: &StoreStatus) -> Option<StoreSet> {
         let old = self.set.stores.iter().find(|e| e.name == status.name)?;
-        if old.addr != status.addr && self.silent(old.id) < AT_WORK {
+        if old.addr != status.addr && self.is_at_work(old.id) {
             return None;
         }
         let lost = old.id;
@@ -169,17 +191,26 @@
 
     /// Gives up a store that stays silent; one that is placed only where a group's worth of others is.
     fn without_a_dead_store(&self) -> Option<StoreSet> {
-        let spare = self.set.placed() > self.set.group_size();
+        let spare = self.can_spare_one();
         let may_go = |e: &&StoreEntry| spare || e.state == StoreState::Leaving;
-        let dead = |e: &&StoreEntry| {
-            let ended = self.observation(e.id).is_some_and(|s| s.status.ending);
-            self.silent(e.id)
-                > if ended { self.bounds.replace_after } else { self.bounds.remove_after }
-        };
+        let dead = |e: &&StoreEntry| self.silent(e.id) > self.patience(e.id);
         let dead = self.set.stores.iter().filter(may_go).find(dead)?.id;
         Some(self.step(|n| n.stores.retain(|e| e.id != dead)))
     }
 
+    /// How much silence of a store is waited out. Where more are silent than may be lost, what they hold
+    /// isn't all with others: rather they are waited for, as after a loss of power.
+    fn patience(&self, id: u64) -> Duration {
+        let ended = self.observation(id).is_some_and(|s| s.status.ending);
+        let placed = self.set.stores.iter().filter(|e| e.state == StoreState::Placed);
+        let silent = placed.filter(|e| !self.is_at_work(e.id)).count();
+        match ended {
+            true => self.bounds.replace_after,
+            false if silent <= self.set.tolerated as usize => self.bounds.remove_after,
+            false => self.bounds.give_up_after,
+        }
+    }
+
     /// Lets the leaving stores go, and completes retirements, once all that they held is with the groups
     /// that keep their programs now.
     fn without_the_leaving(&self) -> Option<StoreSet> {
@@ -197,11 +228,12 @@
     /// A store that was told to stop leaves as in a retirement, where it can be spared: as a planned step,
     /// so that what it holds is with others before it goes.
     fn with_one_leaving(&self) -> Option<StoreSet> {
-        if !may_retire(self.set) || !self.all_caught_up() {
+        let all_at_work = self.set.stores.iter().all(|e| self.is_at_work(e.id));
+        if !(may_retire(self.set) && all_at_work && self.all_caught_up()) {
             return None;
         }
         let placed = |id: u64| self.set.find(id).is_some_and(|e| e.state == StoreState::Placed);
-        let ending = self.heard().find(|s| s.status.ending && placed(s.status.id))?.status.id;
+        let ending = self.at_work().find(|s| s.status.ending && placed(s.status.id))?.status.id;
         Some(self.step(|n| {
             let since = n.version;
             for e in n.stores.iter_mut().filter(|e| e.id == ending) {
--- a/crates/control-cell/tests/stores.rs
+++ b/crates/control-cell/tests/stores.rs
@@ -83,9 +83,13 @@
     caught_up(&mut s, &set);
     s.extend(seen(&[(6, "f", true)]));
     s[0].silent = Duration::from_secs(1);
+    s[5].known_for = s[0].silent + bounds().heard_margin - Duration::from_millis(1);
     assert!(due(&set, &s).is_none());
-    s[0].silent = Duration::ZERO;
+    s[0].silent -= Duration::from_millis(1);
     assert_eq!(due(&set, &s).unwrap().placed(), 6);
+    // It reported after the newcomer, and is away now: planned steps wait for it.
+    (s[5].known_for, s[0].silent) = (LONG, bounds().replace_after);
+    assert!(due(&set, &s).is_none());
 }
 
 #[test]
@@ -130,6 +134,7 @@
     s.extend(seen(&[(5, "e", true)]));
     s[4].status.zone = "zone-a".into();
     s[0].silent = Duration::from_secs(1);
+    s[4].known_for = Duration::from_millis(700);
     assert!(due(&set, &s).is_none(), "one more, or in its place? That will show");
     s[0].silent = Duration::from_secs(2);
     let next = due(&set, &s).unwrap();
@@ -295,3 +300,68 @@
     s[3].status.ending = false;
     assert!(due(&set, &s).is_none(), "it may be back in a moment");
 }
+
+/// An incident: a store was lost for good, and its successor reported 0.3 s later. The silence of the one
+/// was too short to tell, so that the other came in as one more; the lost one stayed placed for ten
+/// seconds, and half of its programs had one copy fewer than tolerance asks for.
+#[test]
+fn a_successor_takes_its_place_whenever_it_comes() {
+    for catch_up in [4100, 4200, 6000].map(Duration::from_millis) {
+        let bounds = RecoveryBounds::from_catch_up(catch_up);
+        for (gap, zone) in (0..30).flat_map(|n| [(n * 50, "zone-a"), (n * 50, "elsewhere")]) {
+            let (set, mut s) = founded();
+            let set = set.next(|n| drop(n.stores.pop()));
+            caught_up(&mut s, &set);
+            s[3] = seen(&[(9, "n", true)]).remove(0);
+            s[3].status.zone = zone.into();
+            s[3].status.caught_up = None;
+            // The last report of the lost store came `gap` before the first of its successor.
+            let gap = Duration::from_millis(gap);
+            let took = (0..).map(|n| Duration::from_millis(n * 50)).find_map(|now| {
+                (s[0].silent, s[3].known_for) = (gap + now, now);
+                let next = next_stores(&set, &s, LONG, 1, &bounds)?;
+                assert!(next.find(1).is_none() && next.find(9).is_some(), "one more: {gap:?}");
+                Some(s[0].silent)
+            });
+            let bound = if zone == "zone-a" { bounds.replace_after } else { bounds.remove_after };
+            assert!(took.unwrap() <= gap.max(bound + Duration::from_millis(50)));
+        }
+    }
+}
+
+/// Planned steps go on beside a dead store: it is taken out early wherever a group's worth stays.
+#[test]
+fn a_dead_store_holds_nothing_up_for_longer_than_its_silence_is_waited_out() {
+    let (set, mut s) = founded();
+    s.extend(seen(&[(5, "e", true)]));
+    s[0].status.caught_up = None;
+    s[0].silent = bounds().remove_after + Duration::from_millis(1);
+    let less = due(&set, &s).unwrap();
+    assert!(less.find(1).is_none() && less.find(5).is_none());
+    caught_up(&mut s, &less);
+    let more = due(&less, &s).unwrap();
+    assert!(more.find(5).is_some());
+    // A new leader hasn't heard of it: nobody is taken in or out until that says something.
+    let others = &s[1..];
+    let new_leader = |calm| next_stores(&set, others, calm, 1, &bounds());
+    assert!(new_leader(bounds().remove_after).is_none());
+    assert!(new_leader(bounds().remove_after + Duration::from_millis(1)).is_some());
+}
+
+/// More than may be lost are silent at once, as after a loss of power: they are waited for. One that was
+/// taken out and returns with its disk comes in at once where the others can't prove their history.
+#[test]
+fn stores_that_are_silent_together_are_waited_for() {
+    let (set, mut s) = founded();
+    for x in &mut s[..2] {
+        x.silent = bounds().give_up_after;
+    }
+    assert!(due(&set, &s).is_none());
+    let gone = set.next(|n| n.stores.retain(|e| e.id != 1));
+    let gone = gone.next(|n| n.stores.retain(|e| e.id != 2));
+    s[0].silent = Duration::ZERO;
+    let next = due(&gone, &s).unwrap();
+    assert!(next.find(1).is_some(), "nobody is caught up, nor can be without it");
+    assert_eq!(next.find(1).unwrap().rank, set.find(1).unwrap().rank);
+    assert!(!next.lacks_proof());
+}
--- a/crates/inner-protocol/src/stores/placement.rs
+++ b/crates/inner-protocol/src/stores/placement.rs
@@ -71,13 +71,20 @@
         self.stores.iter().all(|s| s.caught_up)
     }
 
-    /// Whether a store may have been assigned programs by this placement that `earlier` gave to others:
-    /// it wasn't placed, or another's rank is gone. One more rank, or a successor, gives it none.
-    pub fn may_add_programs(&self, earlier: &Placement, id: u64) -> bool {
-        let others = |p: &Placement| -> BTreeSet<u64> {
-            p.stores.iter().filter(|s| s.id != id).map(|s| s.rank).collect()
+    /// How many stores of any group of at most `size` may lack something without its majority lacking it.
+    pub fn spare(&self, size: usize) -> usize {
+        size.min(self.stores.len()) - self.majority(size).min(self.stores.len())
+    }
+
+    /// Whether a store may keep programs under this placement that `earlier` gave to others: it wasn't
+    /// placed, or another's rank or zone is gone. One more rank, or a successor, gives it none; and where
+    /// every group of `earlier` was all its stores, the store had all programs.
+    pub fn may_add_programs(&self, earlier: &Placement, id: u64, size: usize) -> bool {
+        let others = |p: &Placement| -> BTreeSet<(u64, String)> {
+            p.stores.iter().filter(|s| s.id != id).map(|s| (s.rank, s.zone.clone())).collect()
         };
-        !earlier.has(id) || !others(earlier).is_subset(&others(self))
+        let had_all = earlier.stores.len() <= size;
+        !(earlier.has(id) && (had_all || others(earlier).is_subset(&others(self))))
     }
 
     /// The same stores, with the same ranks.
--- a/crates/turn-store/src/tables/mod.rs
+++ b/crates/turn-store/src/tables/mod.rs
@@ -147,7 +147,7 @@
     /// A store has transferred all it holds; true when this one is caught up by that.
     pub fn transferred(&mut self, version: u64, from: u64, caught_up: Option<VersionSpan>) -> bool {
         self.history.transferred(version, from, caught_up);
-        self.history.complete(self.programs.keys().map(|p| StoreSet::key_of(p)))
+        self.history.complete()
     }
 
     /// Refuses what was made under another set than the one in force here, and all as long as the set
