Transfers: waits from catchUpS; a dead store and a newer set hold nobody up; lost history is said

Cause: a round of transfers ended only when each store had answered or its call timed out (1 s), so that a dead store, or a set that changed meanwhile, held up a second try with all others; both waits were constants. Change: each store is asked again by itself after catchUpS / 40, with catchUpS / 8 for a call and fewer turns a call after one that took too long; a newer set ends the round at once. A store that can't prove the history of all its programs although all have transferred logs an error once a placement, says so in its status, and doctor has a finding for it. Doctor counted stores in state Seated, which nobody reports since the state is named Placed: it always said that 0 stores have a seat. Its test now takes the name from the type.

--- a/crates/control-cell/src/actor/mod.rs
+++ b/crates/control-cell/src/actor/mod.rs
@@ -16,6 +16,7 @@
 mod zones;
 
 pub use handle::{CellCommand, CellHandle, Waiting};
+pub use run::DUTY_EVERY;
 
 use crate::prelude::*;
 use run::Actor;
--- a/crates/control-cell/src/actor/run.rs
+++ b/crates/control-cell/src/actor/run.rs
@@ -10,7 +10,8 @@
 
 /// Commands worked through before the disk, the clock and the duties have their turn again.
 const COMMANDS_AT_ONCE: usize = 64;
-const DUTY_EVERY: Duration = Duration::from_millis(200);
+/// How often the leader looks what is due.
+pub const DUTY_EVERY: Duration = Duration::from_millis(200);
 /// How long a leader that ends stays to hand its lead over.
 const HAND_OVER: Duration = Duration::from_millis(1200);
 /// How long a follower that ends stays so that its last message gets out.
--- a/crates/doctor/src/facts/mod.rs
+++ b/crates/doctor/src/facts/mod.rs
@@ -17,6 +17,8 @@
     pub addr: String,
     /// The version of its set, whether it lost its disk, and its turns.
     pub status: Option<(u64, bool, u64)>,
+    /// It can't prove the history of all its programs: more was lost than may be.
+    pub beyond_proof: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -73,11 +75,14 @@
         f.cells.push(CellFact { addr, status, clock_off });
     }
     for (name, (state, addr)) in stores {
-        let status = match Caller::new(addr.clone()).call(&StoreCall::Tell, WITHIN).await {
-            Ok(StoreReply::Status { version, fresh, turns, .. }) => Some((version, fresh, turns)),
-            _ => None,
-        };
-        f.stores.push(StoreFact { name, state, addr, status });
+        let (status, beyond_proof) =
+            match Caller::new(addr.clone()).call(&StoreCall::Tell, WITHIN).await {
+                Ok(StoreReply::Status { version, fresh, turns, beyond_proof, .. }) => {
+                    (Some((version, fresh, turns)), beyond_proof)
+                }
+                _ => (None, false),
+            };
+        f.stores.push(StoreFact { name, state, addr, status, beyond_proof });
     }
     if let Some(cloud) = &settings.cloud {
         for zone in settings.zones.keys() {
--- a/crates/doctor/src/findings/mod.rs
+++ b/crates/doctor/src/findings/mod.rs
@@ -102,11 +102,11 @@
         }
     }
     let set = f.stores.iter().filter_map(|s| s.status).map(|(version, _, _)| version).max();
-    let counted = f.stores.iter().filter(|s| s.state == "Seated").count();
+    let counted = f.stores.iter().filter(|s| s.state == "Placed").count();
     if counted < 3 && !f.stores.is_empty() {
         say(
             "stores",
-            format!("{counted} stores have a seat"),
+            format!("{counted} stores are placed"),
             "with fewer than three the loss of one stops turns; add storage machines",
         );
     }
@@ -129,6 +129,13 @@
             ),
             Some(_) => {}
         }
+        if s.beyond_proof {
+            say(
+                &s.name,
+                "can't prove the history of all its programs: more stores were lost than may be".into(),
+                "bring back a lost store with its disk; until then such programs get 503, and never a false 404",
+            );
+        }
         if s.state == "Leaving" {
             say(
                 &s.name,
--- a/crates/doctor/src/prelude.rs
+++ b/crates/doctor/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::findings::{find_faults, Finding};
 pub use inner_protocol::cells::{CellCall, CellReply, CellStatus};
 pub use inner_protocol::prelude::*;
-pub use inner_protocol::stores::{StoreCall, StoreReply};
+pub use inner_protocol::stores::{StoreCall, StoreReply, StoreState};
 pub use node_base::disk::verify_segments;
 pub use node_base::settings::{CELL_PORT, STORE_PORT};
 pub use outer_calls::prelude::{list_zone, ListError};
--- a/crates/doctor/tests/findings.rs
+++ b/crates/doctor/tests/findings.rs
@@ -26,9 +26,10 @@
     };
     let store = |name: &str| StoreFact {
         name: name.into(),
-        state: "Seated".into(),
+        state: format!("{:?}", StoreState::Placed),
         addr: String::new(),
         status: Some((1, false, 7)),
+        beyond_proof: false,
     };
     Facts {
         cells: ["c1", "c2", "c3"].map(cell).to_vec(),
@@ -46,7 +47,7 @@
 #[test]
 fn each_common_fault_is_found_with_a_remedy() {
     type Break = fn(&mut Facts);
-    let rows: [(Break, &str); 12] = [
+    let rows: [(Break, &str); 13] = [
         (|f| f.cells[2].status = None, "no cell answers"),
         (|f| f.cells[1].clock_off = Duration::from_secs(9), "time of day"),
         (
@@ -73,6 +74,7 @@
         ),
         (|f| f.stores[0].status = None, "doesn't answer"),
         (|f| f.stores[0].status = Some((1, true, 0)), "lost its disk"),
+        (|f| f.stores[0].beyond_proof = true, "can't prove the history"),
         (|f| f.disk.as_mut().unwrap().damage.push("bad record".into()), "bad record"),
         (|f| f.disk.as_mut().unwrap().used = 90, "MB are used"),
     ];
--- a/crates/inner-protocol/src/stores/mod.rs
+++ b/crates/inner-protocol/src/stores/mod.rs
@@ -172,5 +172,7 @@
         version: u64,
         disk_bytes: u64,
         fresh: bool,
+        /// More stores were lost than may be: of some programs it can't say what they hold.
+        beyond_proof: bool,
     },
 }
--- a/crates/turn-store/src/actor/copying.rs
+++ b/crates/turn-store/src/actor/copying.rs
@@ -2,77 +2,161 @@
 use super::work::{StoreCommand, StoreHandle};
 use crate::prelude::*;
 
-const WITHIN: Duration = Duration::from_millis(1000);
-const AGAIN: Duration = Duration::from_millis(120);
-/// Turns asked for at once.
+/// Turns asked for at once, fewer after a call that took too long.
 const BATCH: usize = 48;
 
-/// Asks each store of the set that has not transferred everything yet, until all have or a newer placement is
-/// in force. All are asked side by side; one that is away doesn't hold up the others.
-pub async fn sync_with_all(h: StoreHandle, me: u64, mut due: watch::Receiver<u64>) {
+/// Waits of a transfer, derived from `catchUpS`: by the end of it what was lost has full redundancy again,
+/// also when one call on the way is lost.
+#[derive(Debug, Clone, Copy)]
+pub struct TransferBounds {
+    /// How long another store has for an answer.
+    pub call: Duration,
+    /// How long a store that didn't answer, or hasn't learnt the set yet, is left alone.
+    pub pause: Duration,
+    /// The longest pause between two rounds that prove too little.
+    pub longest_pause: Duration,
+}
+
+impl TransferBounds {
+    /// The waits under a `catchUpS`.
+    pub fn from_catch_up(catch_up: Duration) -> Self {
+        TransferBounds { call: catch_up / 8, pause: catch_up / 40, longest_pause: catch_up }
+    }
+}
+
+/// How a transfer from one store ended.
+enum TransferEnd {
+    /// It has transferred everything.
+    Whole,
+    /// It works under a newer set, which this store has learnt by that.
+    Superseded,
+    /// It didn't answer, or not yet under this set.
+    Failed,
+    /// This store's own tables are gone.
+    Stopped,
+}
+
+/// Asks each store of the set that has not transferred everything yet, until this store is caught up or a
+/// newer set is known. All are asked side by side; one that is away holds up nobody.
+pub async fn sync_with_all(
+    h: StoreHandle,
+    me: u64,
+    mut due: watch::Receiver<u64>,
+    settings: SharedSettings,
+) {
+    let mut rounds = 0;
     loop {
-        let (tx, rx) = oneshot::channel();
-        if !h.send(StoreCommand::Missing(tx)).await {
-            return;
-        }
-        let Ok((version, missing)) = rx.await else { return };
+        let Some((version, missing)) = h.missing().await else { return };
         if missing.is_empty() {
+            rounds = 0;
             if due.changed().await.is_err() {
                 return;
             }
             continue;
         }
-        let mut work: FuturesUnordered<_> =
-            missing.iter().map(|e| sync_with(version, me, e, &h)).collect();
-        while work.next().await.is_some() {}
-        drop(work);
+        let bounds = TransferBounds::from_catch_up(settings.now().bounds.catch_up);
         tokio::select! {
-            r = due.changed() => if r.is_err() { return },
-            _ = tokio::time::sleep(AGAIN) => {}
+            r = due.changed() => match r {
+                Ok(()) => rounds = 0,
+                Err(_) => return,
+            },
+            _ = transfer_from(version, me, &missing, &h, bounds) => {
+                // Too little is proved by all that there is.
+                let pause = (bounds.pause * 2u32.pow(rounds)).min(bounds.longest_pause);
+                rounds = (rounds + 1).min(10);
+                tokio::select! {
+                    r = due.changed() => if r.is_err() { return },
+                    _ = tokio::time::sleep(pause) => {}
+                }
+            }
         }
     }
 }
 
-async fn sync_with(version: u64, me: u64, from: &StoreEntry, h: &StoreHandle) -> Option<()> {
-    let c = Caller::new(from.addr.clone());
-    let mut after = None;
-    loop {
-        let q = StoreCall::Sync(SyncCall { version, me, after });
-        let page = match c.call::<_, StoreReply>(&q, WITHIN).await {
-            Ok(StoreReply::Sync(p)) => p,
-            Ok(StoreReply::Stale(set)) => {
-                h.learn(set).await;
-                return None;
-            }
-            _ => return None,
-        };
-        let (tx, rx) = oneshot::channel();
-        if !h.send(StoreCommand::Merge(page.rows, tx)).await {
-            return None;
+/// Asks all of them until each has transferred everything or nobody is missing any more.
+async fn transfer_from(
+    version: u64,
+    me: u64,
+    missing: &[StoreEntry],
+    h: &StoreHandle,
+    bounds: TransferBounds,
+) {
+    let each = missing.iter().map(|e| transfer_from_one(version, me, e, h, bounds));
+    let mut work: FuturesUnordered<_> = each.collect();
+    while work.next().await.is_some() {
+        if h.missing().await.is_none_or(|(_, missing)| missing.is_empty()) {
+            return;
         }
-        let lacking = rx.await.ok()?;
-        for part in lacking.chunks(BATCH) {
-            let q = StoreCall::Fetch { ids: part.iter().map(|(_, id)| id.clone()).collect() };
-            let Ok(StoreReply::Turns(t)) = c.call::<_, StoreReply>(&q, WITHIN).await else {
-                return None;
+    }
+}
+
+async fn transfer_from_one(
+    version: u64,
+    me: u64,
+    from: &StoreEntry,
+    h: &StoreHandle,
+    bounds: TransferBounds,
+) {
+    let call = TransferCall { version, me, from, caller: Caller::new(from.addr.clone()), bounds };
+    let mut batch = BATCH;
+    while let TransferEnd::Failed = call.run(h, batch).await {
+        batch = (batch / 4).max(1);
+        tokio::time::sleep(bounds.pause).await;
+    }
+}
+
+/// Everything that one store holds of this one's programs.
+struct TransferCall<'a> {
+    version: u64,
+    me: u64,
+    from: &'a StoreEntry,
+    caller: Caller,
+    bounds: TransferBounds,
+}
+
+impl TransferCall<'_> {
+    async fn run(&self, h: &StoreHandle, batch: usize) -> TransferEnd {
+        let TransferCall { version, me, from, ref caller, bounds } = *self;
+        let within = bounds.call;
+        let mut after = None;
+        loop {
+            let q = StoreCall::Sync(SyncCall { version, me, after });
+            let page = match caller.call::<_, StoreReply>(&q, within).await {
+                Ok(StoreReply::Sync(p)) => p,
+                Ok(StoreReply::Stale(set)) => {
+                    h.learn(set).await;
+                    return TransferEnd::Superseded;
+                }
+                _ => return TransferEnd::Failed,
             };
-            let kept = t.into_iter().filter_map(|r| {
-                let (program, _) = part.iter().find(|(_, id)| *id == r.id)?;
-                Some((program.clone(), r))
-            });
-            let (tx, rx) = oneshot::channel();
-            if !h.send(StoreCommand::Keep(kept.collect(), tx)).await {
-                return None;
+            let Some(lacking) = h.merge(page.rows).await else { return TransferEnd::Stopped };
+            for part in lacking.chunks(batch) {
+                let q = StoreCall::Fetch { ids: part.iter().map(|(_, id)| id.clone()).collect() };
+                let Ok(StoreReply::Turns(turns)) = caller.call::<_, StoreReply>(&q, within).await
+                else {
+                    return TransferEnd::Failed;
+                };
+                let kept = turns.into_iter().filter_map(|r| {
+                    let (program, _) = part.iter().find(|(_, id)| *id == r.id)?;
+                    Some((program.clone(), r))
+                });
+                if h.keep(kept.collect()).await.is_none() {
+                    return TransferEnd::Stopped;
+                }
             }
-            rx.await.ok()?;
-        }
-        match page.more {
-            Some(a) => after = Some(a),
-            None => {
-                let done =
-                    StoreCommand::Transferred { version, from: from.id, caught_up: page.caught_up };
-                h.send(done).await;
-                return Some(());
+            match page.more {
+                Some(a) => after = Some(a),
+                None => {
+                    let done = StoreCommand::Transferred {
+                        version,
+                        from: from.id,
+                        caught_up: page.caught_up,
+                    };
+                    return match h.send(done).await {
+                        true => TransferEnd::Whole,
+                        false => TransferEnd::Stopped,
+                    };
+                }
             }
         }
     }
--- a/crates/turn-store/src/actor/mod.rs
+++ b/crates/turn-store/src/actor/mod.rs
@@ -3,4 +3,5 @@
 mod copying;
 mod work;
 
+pub use copying::TransferBounds;
 pub use work::{start, StoreCommand, StoreHandle};
--- a/crates/turn-store/src/actor/work.rs
+++ b/crates/turn-store/src/actor/work.rs
@@ -66,6 +66,27 @@
     pub(super) async fn send(&self, c: StoreCommand) -> bool {
         self.queue.send(c).await.is_ok()
     }
+
+    /// The version in force, and which stores have not transferred everything yet.
+    pub(super) async fn missing(&self) -> Option<(u64, Vec<StoreEntry>)> {
+        let (tx, rx) = oneshot::channel();
+        self.send(StoreCommand::Missing(tx)).await;
+        rx.await.ok()
+    }
+
+    /// Takes rows of another store; gives back which turns, as (program, id), are not here.
+    pub(super) async fn merge(&self, rows: Vec<SyncRow>) -> Option<Vec<(String, String)>> {
+        let (tx, rx) = oneshot::channel();
+        self.send(StoreCommand::Merge(rows, tx)).await;
+        rx.await.ok()
+    }
+
+    /// Keeps turns of another store, each for a program; they are synced when this ends.
+    pub(super) async fn keep(&self, turns: Vec<(String, TurnRecord)>) -> Option<()> {
+        let (tx, rx) = oneshot::channel();
+        self.send(StoreCommand::Keep(turns, tx)).await;
+        rx.await.ok()
+    }
 }
 
 /// Invariant: at all versions of `caught_up` this disk had the complete history of the store's programs.
@@ -94,6 +115,8 @@
     ending: bool,
     released: watch::Sender<bool>,
     segment_bytes: u64,
+    /// The placement under which it was last said that more was lost than may be.
+    beyond_proof: u64,
 }
 
 /// How long a segment's records may matter at the least.
@@ -102,7 +125,8 @@
 pub type StatusWatch = watch::Receiver<Option<StoreStatus>>;
 
 /// Reads what is on the disk and starts the owner. Gives back the store's status as it changes.
-pub fn start(settings: &NodeSettings) -> NodeResult<(StoreHandle, StatusWatch)> {
+pub fn start(shared: &SharedSettings) -> NodeResult<(StoreHandle, StatusWatch)> {
+    let settings = shared.now();
     let Some(dir) = settings.data_dir.clone() else {
         return Err(NodeError::BadSettings {
             file: "settings".into(),
@@ -152,7 +176,7 @@
     let ends = (log.first_no()..=log.segment_no()).map(|n| (n, SEGMENT_KEPT)).collect();
     let disk = settings.limits.disk_mb.max(64) << 20;
     let (due, due_rx) = watch::channel(0);
-    tokio::spawn(sync_with_all(handle.clone(), ident.id, due_rx));
+    tokio::spawn(sync_with_all(handle.clone(), ident.id, due_rx, shared.clone()));
     let owner = Actor {
         dir,
         name: settings.node_name.clone(),
@@ -166,6 +190,7 @@
         ending: false,
         released,
         segment_bytes: disk / 32,
+        beyond_proof: 0,
     };
     tokio::spawn(owner.run(rx));
     Ok((handle, srx))
@@ -256,6 +281,7 @@
                     info!("caught up under store set {}", self.tables.history.set.version);
                     self.identify();
                 }
+                self.note_lost_history();
             }
             StoreCommand::End => {
                 info!("told to stop");
@@ -270,6 +296,20 @@
         }
     }
 
+    /// Says once for each placement that more was lost than may be.
+    fn note_lost_history(&mut self) {
+        let h = &self.tables.history;
+        let placement = h.set.placement().map_or(0, |p| p.version);
+        if h.is_beyond_proof() && self.beyond_proof < placement {
+            self.beyond_proof = placement;
+            spdlog::error!(
+                "history beyond proof under store set {}: more stores were lost than may be; \
+                 programs whose history nobody can prove are refused",
+                h.set.version
+            );
+        }
+    }
+
     fn tell(&mut self, f: impl FnOnce(&mut StoreStatus)) {
         self.status.send_if_modified(|s| {
             let Some(s) = s else { return false };
--- a/crates/turn-store/src/lib.rs
+++ b/crates/turn-store/src/lib.rs
@@ -19,7 +19,7 @@
     let addr = settings.own_addr(STORE_PORT);
     let listener =
         TcpListener::bind(&addr).await.map_err(|e| NodeError::Io { what: addr, source: e })?;
-    let (store, status) = actor::start(&settings)?;
+    let (store, status) = actor::start(&shared)?;
     let (tx, mut rx) = mpsc::channel(64);
     tokio::spawn(follow_cells(FollowSettings::of_cells(&shared), tx, status));
     let h = store.clone();
--- a/crates/turn-store/src/tables/mod.rs
+++ b/crates/turn-store/src/tables/mod.rs
@@ -253,6 +253,7 @@
                 version: self.history.set.version,
                 disk_bytes: 0,
                 fresh: self.history.caught_up.is_none(),
+                beyond_proof: self.history.is_beyond_proof(),
             },
         }
     }
