--- a/crates/doctor/src/facts/mod.rs
+++ b/crates/doctor/src/facts/mod.rs
@@ -19,6 +19,8 @@
     pub fresh: bool,
     /// How many it holds.
     pub turns: u64,
+    /// It can't prove the history of all its programs: more was lost than may be.
+    pub beyond_proof: bool,
 }
 
 /// What was seen of a store.
@@ -84,8 +86,8 @@
     for summary in stores.into_values() {
         let caller = Caller::new(summary.addr.clone());
         let answer = match caller.call(&StoreCall::Tell, WITHIN).await {
-            Ok(StoreReply::Status { version, fresh, turns, .. }) => {
-                Some(StoreAnswer { version, fresh, turns })
+            Ok(StoreReply::Status { version, fresh, turns, beyond_proof, .. }) => {
+                Some(StoreAnswer { version, fresh, turns, beyond_proof })
             }
             _ => None,
         };
--- a/crates/doctor/src/findings/mod.rs
+++ b/crates/doctor/src/findings/mod.rs
@@ -130,6 +130,13 @@
             ),
             Some(_) => {}
         }
+        if s.answer.is_some_and(|answer| answer.beyond_proof) {
+            say(
+                name,
+                "can't prove the history of all its programs: more stores were lost than may be".into(),
+                "bring back a lost store with its disk; until then such programs get 503, and never a false 404",
+            );
+        }
         if *state == StoreState::Leaving {
             say(
                 name,
--- a/crates/doctor/tests/findings.rs
+++ b/crates/doctor/tests/findings.rs
@@ -26,7 +26,7 @@
     };
     let store = |name: &str| StoreFact {
         summary: StoreSummary { name: name.into(), state: StoreState::Placed, addr: String::new() },
-        answer: Some(StoreAnswer { version: 1, fresh: false, turns: 7 }),
+        answer: Some(StoreAnswer { version: 1, fresh: false, turns: 7, beyond_proof: false }),
     };
     Facts {
         cells: ["c1", "c2", "c3"].map(cell).to_vec(),
@@ -44,7 +44,7 @@
 #[test]
 fn each_common_fault_is_found_with_a_remedy() {
     type Break = fn(&mut Facts);
-    let rows: [(Break, &str); 15] = [
+    let rows: [(Break, &str); 16] = [
         (|f| f.cells[2].status = None, "no cell answers"),
         (|f| f.cells[1].clock_off = Duration::from_secs(9), "time of day"),
         (
@@ -71,6 +71,7 @@
         ),
         (|f| f.stores[0].answer = None, "doesn't answer"),
         (|f| f.stores[0].answer.as_mut().unwrap().fresh = true, "lost its disk"),
+        (|f| f.stores[0].answer.as_mut().unwrap().beyond_proof = true, "can't prove the history"),
         (|f| f.stores[0].summary.state = StoreState::Leaving, "assigned to 2 stores"),
         (|f| f.stores[0].summary.state = StoreState::Leaving, "is being emptied"),
         (|f| f.stores[0].answer.as_mut().unwrap().version = 0, "works under store set 0"),
--- a/crates/inner-protocol/src/stores/mod.rs
+++ b/crates/inner-protocol/src/stores/mod.rs
@@ -232,5 +232,7 @@
         disk_bytes: u64,
         /// Its disk was lost, and it has not caught up since.
         fresh: bool,
+        /// More stores were lost than may be: of some programs it can't say what they hold.
+        beyond_proof: bool,
     },
 }
--- a/crates/turn-store/src/actor/mod.rs
+++ b/crates/turn-store/src/actor/mod.rs
@@ -4,5 +4,6 @@
 mod segments;
 mod work;
 
+pub use copying::TransferBounds;
 pub use segments::{Removal, SegmentUses};
 pub use work::{start, StoreCommand, StoreHandle};
