Agreement: a follower that is back gets what it lacks at once

Cause: the pause before something unanswered is sent again doubles with each failure up to 4.8 s. While a follower was away it grew; once back, the follower answered rounds but waited up to 4.8 s for the entries it lacked, longer than catchUpS (4.1 s), after which its loss doesn't count any more. A learner that was cut off for a while couldn't become a voter in that time. Change: an answer to a round after a gap longer than the contact bound ends the pause; what was given up is sent again at once, entries and chunks.

Conclusion: time to full redundancy after an absence follows the beat, not the absence.

--- a/crates/agreement/src/core/leader.rs
+++ b/crates/agreement/src/core/leader.rs
@@ -76,14 +76,17 @@
         self.round
     }
 
-    /// A follower answered a round.
-    pub fn round_answered(&mut self, from: u64, round: u64) {
+    /// A follower answered a round. True when it had been away for longer than `bound` and may lack what
+    /// was sent meanwhile.
+    pub fn round_answered(&mut self, from: u64, round: u64, bound: Duration) -> bool {
         let sent = self.rounds.iter().find(|s| s.round == round).map(|s| s.at);
         let (Some(p), Some(at)) = (self.progress.get_mut(&from), sent) else {
-            return;
+            return false;
         };
+        let was_away = p.contact.is_none_or(|before| at > before + bound);
         p.round = p.round.max(round);
         p.contact = p.contact.max(Some(at));
+        was_away && p.begin_anew()
     }
 
     /// When the newest round was sent that a majority answered.
--- a/crates/agreement/src/core/progress.rs
+++ b/crates/agreement/src/core/progress.rs
@@ -85,6 +85,22 @@
         }
     }
 
+    /// The follower is back: what was given up while it was away is sent again now, not after the pause
+    /// that grew with each failure. True when something was given up.
+    pub fn begin_anew(&mut self) -> bool {
+        if self.failures == 0 {
+            return false;
+        }
+        self.failures = 0;
+        self.in_flight = None;
+        self.next = self.matched + 1;
+        if let Some(t) = &mut self.transfer {
+            t.sent = t.acknowledged;
+            t.until = Duration::ZERO;
+        }
+        true
+    }
+
     /// The follower's log is the leader's up to `matched`.
     pub fn accept(&mut self, matched: u64) {
         self.matched = self.matched.max(matched);
--- a/crates/agreement/src/core/replicate.rs
+++ b/crates/agreement/src/core/replicate.rs
@@ -151,10 +151,13 @@
     }
 
     pub(super) fn heartbeat_reply(&mut self, from: u64, round: u64, now: Duration) {
-        if let Some(lead) = &mut self.lead {
-            lead.round_answered(from, round);
-        }
+        let bound = self.tuning.contact_bound();
+        let Some(lead) = &mut self.lead else { return };
+        let back = lead.round_answered(from, round, bound);
         self.count(now);
+        if back {
+            self.send_log(from, now);
+        }
     }
 
     pub(super) fn append_reply(&mut self, from: u64, ok: bool, matched: u64, now: Duration) {
--- a/crates/agreement/tests/contact.rs
+++ b/crates/agreement/tests/contact.rs
@@ -249,3 +249,28 @@
     w.settle();
     assert!(w.now < w.node(unheard).last_current().unwrap() + bound);
 }
+
+/// While a follower is away, the pause before something is sent to it again grows to several seconds. Once
+/// it answers a round, it gets at once what it lacks, by entries or by snapshot.
+#[test]
+fn a_follower_that_is_back_gets_what_it_lacks_at_once() {
+    for compacts in [false, true] {
+        for away_steps in 20..120 {
+            let mut w = World::new(&[1, 2, 3]);
+            w.settle();
+            let leader = w.leader().unwrap();
+            let away = if leader == 3 { 2 } else { 3 };
+            w.isolate(away);
+            for i in 0..away_steps {
+                w.propose(command(i));
+                w.run(1);
+                if compacts {
+                    w.compact(leader);
+                }
+            }
+            w.cuts.clear();
+            w.run(6);
+            assert_eq!(w.node(away).commit, w.node(leader).commit, "after {away_steps} steps");
+        }
+    }
+}
