Cells: an identity that can't be read is an error

Cause: the cell's identity file was decoded leniently; one that can't be read counted as none, and the cell went on under a new identity with the old one's log. The store reads its own by load_value for this reason. Change: load_value here too.

--- a/crates/control-cell/src/actor/driver.rs
+++ b/crates/control-cell/src/actor/driver.rs
@@ -57,8 +57,7 @@
 }
 
 fn read_identity(dir: &Path) -> NodeResult<Option<Identity>> {
-    let bytes = load_snapshot(dir, IDENTITY)?;
-    let read = bytes.and_then(|b| decode::<(u64, u64)>(&b));
+    let read = load_value::<(u64, u64)>(dir, IDENTITY)?;
     Ok(read.map(|(id, lives)| Identity { id, lives: lives + 1 }))
 }
 
