Cells: waits of the membership follow the bounds, newcomers count by proof, and a cell stays until its place is taken

Causes, by core_schedules with a clock of its own (newcomers that ask as soon as they start, planned steps, two at once, 1 s apart, catchUpS of 3.8 to 6 s; recovery is due a margin before the loss stops counting): - REPLACED (1.5 s), counted anew by each new leader: with two losses 1 s apart, the second being the leader, the first lost voter's place wasn't taken within catchUpS less the margin. - A cell told the leader once that it ends, and ended 0.3 s later; a leader that ended told nobody, and as its zones were moved first, found its followers an entry behind and never handed over: it ended after 1.2 s as the leader. A planned step then left a voter that was gone for 20 s (GONE) where no standby was. - That a newcomer wasn't in a lost voter's place was concluded from 0.5 s of silence (UNSURE) alone, which held only since newcomers waited for 0.7 s. - is_leaving held for 6 s, also for a cell that was back after one. Changes: MembershipBounds derives all waits from catchUpS, drainMs and gracePeriodS, with a margin and the sum of a recovery, in one place. A newcomer makes more voters only once every other answered a round sent after the newcomer was known. A voter that nobody can stand in for becomes a standby after half of catchUpS, where enough are left. Members that didn't answer a new leader yet count as silent for as long as the leader before. A cell that ends repeats it with each duty, hands over to one that stays, votes on, and ends once the leader has agreed that it has no vote, or after a quarter of gracePeriodS. Tests changed: core_schedules as said, stricter (copies of the newest agreed entry too; its waits were copies of the constants); members.rs hands bounds over, with the same cases, and one more. Measured: the first clocked schedules failed on the code before (5 machines, T = 2: 1 of 2 losses borne after a planned step whose word was lost); all pass now. Mutations: replace_after 1.5 s: schedules and bounds fail; no proof for newcomers: unit test fails (schedules pass); remove_after 20 s, first_join 3 s: bounds test fails (schedules pass).

--- a/crates/agreement/src/core/node.rs
+++ b/crates/agreement/src/core/node.rs
@@ -137,7 +137,7 @@
             Event::Received { from, msg } => self.received(from, msg, now),
             Event::Propose { token, body } => self.propose(token, body, now),
             Event::Confirm { token } => self.confirm(token, now),
-            Event::HandOver => self.hand_over(now),
+            Event::HandOver { leaving } => self.hand_over(&leaving, now),
             Event::Compact { index, data } => self.compact(index, data),
         }
         std::mem::take(&mut self.out)
--- a/crates/agreement/src/core/proposals.rs
+++ b/crates/agreement/src/core/proposals.rs
@@ -63,11 +63,12 @@
         self.count(now);
     }
 
-    /// Names the voter that is furthest on, if it has everything.
-    pub(super) fn hand_over(&mut self, now: Duration) {
+    /// Names the voter that is furthest on of those that stay, if it has everything.
+    pub(super) fn hand_over(&mut self, leaving: &BTreeSet<u64>, now: Duration) {
         let last = self.log.last();
         let Some(lead) = &mut self.lead else { return };
-        let voters = self.log.membership().voters.iter();
+        let staying = |m: &&Member| !leaving.contains(&m.id);
+        let voters = self.log.membership().voters.iter().filter(staying);
         let followers = voters.filter_map(|m| lead.progress.get(&m.id).map(|p| (m.id, p)));
         let best = followers.max_by_key(|(_, p)| (p.matched, p.contact));
         match best.map(|(id, p)| (id, p.matched)) {
--- a/crates/agreement/src/core/types.rs
+++ b/crates/agreement/src/core/types.rs
@@ -104,8 +104,11 @@
         /// Returned with `Effect::Confirmed`.
         token: u64,
     },
-    /// Hand leadership to the follower that is furthest on.
-    HandOver,
+    /// Hand leadership to the follower that is furthest on, but to none that is leaving.
+    HandOver {
+        /// Members that are about to end.
+        leaving: BTreeSet<u64>,
+    },
     /// The driver has put everything up to `index` into `data`.
     Compact {
         /// The last entry that `data` contains.
--- a/crates/agreement/tests/schedules.rs
+++ b/crates/agreement/tests/schedules.rs
@@ -25,7 +25,7 @@
     let mut w = World::new(&[1, 2, 3]);
     w.settle();
     let old = w.leader().unwrap();
-    w.step(old, Event::HandOver);
+    w.step(old, Event::HandOver { leaving: BTreeSet::new() });
     assert!(!w.node(old).ready_to_serve(w.now), "its successor may lead already");
     w.deliver_all();
     let new = w.leader().unwrap();
@@ -38,7 +38,7 @@
     let mut w = World::new(&[1, 2, 3]);
     w.settle();
     let old = w.leader().unwrap();
-    w.step(old, Event::HandOver);
+    w.step(old, Event::HandOver { leaving: BTreeSet::new() });
     w.flight.retain(|f| !matches!(f.msg, Msg::TakeLead { .. }));
     w.settle();
     assert_eq!(w.leader(), Some(old));
@@ -188,7 +188,7 @@
             }
             26 => {
                 if let Some(leader) = self.world.leader() {
-                    self.world.step(leader, Event::HandOver);
+                    self.world.step(leader, Event::HandOver { leaving: BTreeSet::new() });
                 }
             }
             _ => {
--- a/crates/control-cell/src/actor/calls.rs
+++ b/crates/control-cell/src/actor/calls.rs
@@ -43,7 +43,10 @@
             }
             CellCall::Leave { id } => {
                 self.members.leaves(id);
-                waiting.answer(CellReply::Done);
+                waiting.answer(match self.driver.leads() && self.votes_no_more(id) {
+                    true => CellReply::Done,
+                    false => CellReply::Unable,
+                });
             }
             CellCall::Tell => waiting.answer(CellReply::Status(self.status())),
             CellCall::Outcomes { reports } => {
--- a/crates/control-cell/src/actor/duties.rs
+++ b/crates/control-cell/src/actor/duties.rs
@@ -4,12 +4,6 @@
 use crate::prelude::*;
 use node_base::settings::CELL_PORT;
 
-/// A holder that hasn't answered for this long loses its zones to another: the platform's list must be
-/// read well within the time in which leaving engines are to be left alone.
-const HOLDER_SILENT: Duration = Duration::from_millis(600);
-/// A member in contact within this doesn't ask to be taken in.
-const JOIN_CONTACT: Duration = Duration::from_millis(1500);
-
 impl Actor {
     pub fn duties(&mut self, now: Instant) -> bool {
         self.feed.heartbeat(now, self.driver.vouches());
@@ -17,7 +11,11 @@
         for t in self.zones.due(now, self.desk.state(), self.driver.me.id) {
             self.tell_table(&t);
         }
+        if self.ending.is_some() {
+            self.members.leaves(self.driver.me.id);
+        }
         if !self.driver.leads() {
+            self.announce_leaving();
             self.ask_to_join(now);
             self.tell_leader_all(now);
             return true;
@@ -27,16 +25,18 @@
             // One thing at a time: what was proposed last isn't agreed on yet.
             return true;
         }
-        self.members.forget_old(now);
-        self.lead_duties(now)
+        let bounds = self.membership_bounds();
+        self.members.forget_old(now, &bounds, self.driver.members());
+        self.lead_duties(now) && self.hand_over()
     }
 
     /// A cell that is no member, or hears no leader, asks to be taken in.
     fn ask_to_join(&mut self, now: Instant) {
-        if !self.members.join_due(now) {
+        let bounds = self.membership_bounds();
+        if !self.members.join_due(now, &bounds) {
             return;
         }
-        let in_contact = self.driver.contact_within(JOIN_CONTACT);
+        let in_contact = self.driver.contact_within(bounds.replace_after);
         let known = self.driver.knows_me();
         if in_contact && known || self.ending.is_some() {
             return;
@@ -53,7 +53,8 @@
             let member = self.driver.me.clone();
             let caller = self.links.caller(&a);
             tokio::spawn(async move {
-                let index = caller.call::<_, CellReply>(&CellCall::ReadIndex, JOIN_CONTACT).await;
+                let asked = caller.call::<_, CellReply>(&CellCall::ReadIndex, bounds.replace_after);
+                let index = asked.await;
                 if let Ok(CellReply::Index(read_at)) = index {
                     caller.tell(&CellCall::Join { member, read_at });
                 }
@@ -65,7 +66,8 @@
         if let Some(end) = self.trial.judge(self.desk.state()) {
             return self.change(&end, None);
         }
-        if let Some(next) = self.members.next(&self.driver, &self.policy(), now) {
+        let bounds = self.membership_bounds();
+        if let Some(next) = self.members.next(&self.driver, &self.policy(), &bounds, now) {
             return self.propose(Body::Membership(next), None);
         }
         if let Some(holders) = self.due_holders(now) {
@@ -83,6 +85,10 @@
         true
     }
 
+    fn membership_bounds(&self) -> MembershipBounds {
+        MembershipBounds::from_settings(&self.settings.now().bounds)
+    }
+
     fn policy(&self) -> CorePolicy {
         let regions = self.settings.now().zones.clone().into_iter().collect();
         CorePolicy { tolerated: self.settings.now().tolerated, regions }
@@ -90,9 +96,10 @@
 
     fn due_holders(&self, now: Instant) -> Option<BTreeMap<String, u64>> {
         let zones: BTreeSet<String> = self.settings.now().zones.keys().cloned().collect();
+        let holder_silent = self.membership_bounds().holder_silent;
         let alive = |id: u64| {
             !self.members.is_leaving(id)
-                && self.members.silent(id, &self.driver, now) < HOLDER_SILENT
+                && self.members.silent(id, &self.driver, now) < holder_silent
         };
         next_holders(&self.desk.state().holders, &zones, self.driver.members(), alive)
     }
--- a/crates/control-cell/src/actor/handle.rs
+++ b/crates/control-cell/src/actor/handle.rs
@@ -61,6 +61,8 @@
     SnapshotWritten(NodeResult<SnapshotWrite>),
     /// The cell ends in order.
     Leave(oneshot::Sender<()>),
+    /// The leader has agreed that this cell, which ends, votes no more.
+    Replaced,
 }
 
 /// A handle to a cell's actor.
@@ -73,8 +75,6 @@
 const CALL_WITHIN: Duration = Duration::from_millis(2500);
 /// A follower gives a link up after a second of silence.
 const FOLLOW_WITHIN: Duration = Duration::from_millis(900);
-/// How long a cell that ends waits for its last message to get out.
-const LEAVE_WITHIN: Duration = Duration::from_secs(2);
 
 impl CellHandle {
     /// Queues a command and waits for its answer until the deadline.
@@ -142,11 +142,11 @@
         self.wait(deadline, |w| CellCommand::Follow(from, w)).await?
     }
 
-    /// Ends in order: the lead and the zones go to others.
+    /// Ends in order: the lead, the vote and the zones go to others, where they can.
     pub async fn leave(&self) {
         let (tx, rx) = oneshot::channel();
         if self.queue.send(CellCommand::Leave(tx)).await.is_ok() {
-            let _ = tokio::time::timeout(LEAVE_WITHIN, rx).await;
+            let _ = rx.await;
         }
     }
 }
--- a/crates/control-cell/src/actor/membership.rs
+++ b/crates/control-cell/src/actor/membership.rs
@@ -2,21 +2,21 @@
 use super::driver::ConsensusDriver;
 use crate::prelude::*;
 
-const JOINER_KEPT: Duration = Duration::from_secs(2);
-const LEAVING_KEPT: Duration = Duration::from_secs(6);
-const FIRST_JOIN: Duration = Duration::from_millis(700);
-const JOIN_AGAIN: Duration = Duration::from_millis(500);
-/// The leader before was silent already when this one was elected.
-const OLD_LEADER_SILENT: Duration = Duration::from_secs(1);
+/// A cell that leaves says so with each of its duties; one that hasn't for so long has ended, and may be
+/// back already.
+const LEAVING_KEPT: Duration = DUTY_EVERY.saturating_mul(3);
 
 pub(super) struct MembershipDuty {
     joiners: HashMap<u64, Request>,
+    /// Since when this leader has known those who asked to come in.
+    known_since: HashMap<u64, Instant>,
     leaving: HashMap<u64, Instant>,
     lead_since: Option<Instant>,
     /// Who led before this cell did.
     old_leader: Option<u64>,
     last_leader: Option<u64>,
-    next_join: Instant,
+    started: Instant,
+    last_join: Option<Instant>,
 }
 
 struct Request {
@@ -28,11 +28,13 @@
     pub fn new(now: Instant) -> Self {
         MembershipDuty {
             joiners: HashMap::new(),
+            known_since: HashMap::new(),
             leaving: HashMap::new(),
             lead_since: None,
             old_leader: None,
             last_leader: None,
-            next_join: now + FIRST_JOIN,
+            started: now,
+            last_join: None,
         }
     }
 
@@ -48,31 +50,45 @@
         } else {
             self.joiners.clear();
         }
+        self.known_since.clear();
     }
 
     pub fn joins(&mut self, join: JoinRequest) {
-        self.joiners.insert(join.member.id, Request { join, at: Instant::now() });
+        let at = Instant::now();
+        self.known_since.entry(join.member.id).or_insert(at);
+        self.joiners.insert(join.member.id, Request { join, at });
     }
 
     pub fn leaves(&mut self, id: u64) {
         self.leaving.insert(id, Instant::now());
     }
 
+    /// Those that are about to end.
+    pub fn leaving(&self) -> BTreeSet<u64> {
+        self.leaving.keys().copied().collect()
+    }
+
     pub fn is_leaving(&self, id: u64) -> bool {
         self.leaving.contains_key(&id)
     }
 
     /// Forgets requests that weren't repeated.
-    pub fn forget_old(&mut self, now: Instant) {
-        self.joiners.retain(|_, r| now < r.at + JOINER_KEPT);
+    pub fn forget_old(&mut self, now: Instant, bounds: &MembershipBounds, members: &[Member]) {
+        self.joiners.retain(|_, r| now < r.at + bounds.joiner_kept);
+        let joiners = &self.joiners;
+        let is_member = |id: &u64| members.iter().any(|m| m.id == *id);
+        self.known_since.retain(|id, _| joiners.contains_key(id) || is_member(id));
         self.leaving.retain(|_, at| now < *at + LEAVING_KEPT);
     }
 
     /// Whether this cell is due to ask to be taken in.
-    pub fn join_due(&mut self, now: Instant) -> bool {
-        let due = now >= self.next_join;
+    pub fn join_due(&mut self, now: Instant, bounds: &MembershipBounds) -> bool {
+        let due = match self.last_join {
+            None => now >= self.started + bounds.first_join,
+            Some(last) => now >= last + bounds.join_again,
+        };
         if due {
-            self.next_join = now + JOIN_AGAIN;
+            self.last_join = Some(now);
         }
         due
     }
@@ -82,7 +98,7 @@
         self.lead_since.map_or(Duration::ZERO, |t| now.duration_since(t))
     }
 
-    /// How long a member hasn't answered this leader.
+    /// How long a member hasn't answered this leader, as far as its holding of zones goes.
     pub fn silent(&self, id: u64, driver: &ConsensusDriver, now: Instant) -> Duration {
         if id == driver.me.id {
             return Duration::ZERO;
@@ -90,16 +106,33 @@
         let since = self.lead_since.map(|t| driver.on_clock(t));
         match driver.node.last_contact_with(id) {
             Some(t) if since.is_some_and(|s| t > s) => driver.elapsed().saturating_sub(t),
-            _ if self.old_leader == Some(id) => self.led_for(now) + OLD_LEADER_SILENT,
+            // The leader before had been silent for this long when this one was elected.
+            _ if self.old_leader == Some(id) => self.led_for(now) + driver.node.tuning.election_low,
             _ => self.led_for(now),
         }
     }
 
+    /// How long a member hasn't answered. One that hasn't answered this leader yet may have been silent
+    /// as long as the leader before.
+    fn silent_as_voter(&self, id: u64, driver: &ConsensusDriver, now: Instant) -> Duration {
+        let silent = self.silent(id, driver, now);
+        match silent >= self.led_for(now) {
+            true => self.led_for(now) + driver.node.tuning.election_low,
+            false => silent,
+        }
+    }
+
+    fn known_for(&self, id: u64, now: Instant) -> Duration {
+        let since = self.known_since.get(&id);
+        since.map_or(self.led_for(now), |t| now.duration_since(*t))
+    }
+
     /// The next membership, if one is due.
     pub fn next(
         &self,
         driver: &ConsensusDriver,
         policy: &CorePolicy,
+        bounds: &MembershipBounds,
         now: Instant,
     ) -> Option<Membership> {
         let current = driver.node.log.membership();
@@ -122,11 +155,12 @@
         let observe = |id| MemberObservation {
             silent: match self.is_leaving(id) {
                 true => Duration::MAX,
-                false => self.silent(id, driver, now),
+                false => self.silent_as_voter(id, driver, now),
             },
+            known_for: self.known_for(id, now),
             caught_up: driver.node.follower(id).is_some_and(|f| f.caught_up),
         };
-        next_membership(current, driver.me.id, &joiners, entry, policy, observe)
+        next_membership(current, driver.me.id, &joiners, entry, policy, bounds, observe)
     }
 
     /// A founder's entry learns its name and zone when the cell itself tells them.
--- a/crates/control-cell/src/actor/mod.rs
+++ b/crates/control-cell/src/actor/mod.rs
@@ -6,6 +6,7 @@
 mod duties;
 mod handle;
 mod items;
+mod leaving;
 mod links;
 mod membership;
 mod publish;
@@ -16,6 +17,7 @@
 mod zones;
 
 pub use handle::{CellCommand, CellHandle, Waiting};
+pub use run::DUTY_EVERY;
 
 use crate::prelude::*;
 use run::Actor;
--- a/crates/control-cell/src/actor/run.rs
+++ b/crates/control-cell/src/actor/run.rs
@@ -10,11 +10,8 @@
 
 /// Commands worked through before the disk, the clock and the duties have their turn again.
 const COMMANDS_AT_ONCE: usize = 64;
-const DUTY_EVERY: Duration = Duration::from_millis(200);
-/// How long a leader that ends stays to hand its lead over.
-const HAND_OVER: Duration = Duration::from_millis(1200);
-/// How long a follower that ends stays so that its last message gets out.
-const LEAVE_WORD: Duration = Duration::from_millis(300);
+/// Between two turns of a cell's duties.
+pub const DUTY_EVERY: Duration = Duration::from_millis(200);
 
 /// Who waits for an order.
 pub(super) enum Order {
@@ -103,10 +100,16 @@
     }
 }
 
-/// The end of a cell, and who waits for it.
+/// The end of a cell, which waits until its place is taken, and who waits for it.
 pub(super) struct Ending {
-    at: Instant,
-    done: oneshot::Sender<()>,
+    pub at: Instant,
+    pub done: oneshot::Sender<()>,
+}
+
+impl Ending {
+    pub fn end(self) {
+        let _ = self.done.send(());
+    }
 }
 
 /// Invariant: `due` is empty unless something is being carried out.
@@ -192,9 +195,8 @@
             self.next_duty = now + DUTY_EVERY;
             ok = self.duties(now);
         }
-        let leads = self.driver.leads();
-        if let Some(e) = self.ending.take_if(|e| now >= e.at || !leads) {
-            let _ = e.done.send(());
+        if let Some(e) = self.ending.take_if(|e| now >= e.at) {
+            e.end();
         }
         ok
     }
@@ -214,7 +216,8 @@
                 events.into_iter().for_each(|e| self.settle(e));
             }
             CellCommand::SnapshotWritten(write) => return self.snapshot_written(write),
-            CellCommand::Leave(reply) => return self.leave(reply),
+            CellCommand::Leave(done) => return self.leave(done),
+            CellCommand::Replaced => self.replaced(),
         }
         true
     }
@@ -234,19 +237,4 @@
         }
         true
     }
-
-    fn leave(&mut self, done: oneshot::Sender<()>) -> bool {
-        let now = Instant::now();
-        let id = self.driver.me.id;
-        if self.driver.leads() {
-            self.members.leaves(id);
-            self.ending = Some(Ending { at: now + HAND_OVER, done });
-            return self.duties(now) && self.agree_on(Event::HandOver);
-        }
-        if let Some(l) = self.leader_addr() {
-            self.links.caller(&l).tell(&CellCall::Leave { id });
-        }
-        self.ending = Some(Ending { at: now + LEAVE_WORD, done });
-        true
-    }
 }
--- a/crates/control-cell/src/duties/members.rs
+++ b/crates/control-cell/src/duties/members.rs
@@ -6,13 +6,6 @@
 use crate::prelude::*;
 use node_base::settings::Tolerated;
 
-/// Silence after which a standby takes a voter's place.
-const REPLACED: Duration = Duration::from_millis(1500);
-/// A voter that is silent for longer may be lost, and the machines that join may be in its place: there
-/// are no more voters than before. Below the time that a machine takes from its start to its first request.
-const UNSURE: Duration = Duration::from_millis(500);
-/// Silence after which a standby is left out, and a voter that nobody can stand in for becomes one.
-const GONE: Duration = Duration::from_secs(20);
 /// More voters than these only make each decision slower.
 const MOST_VOTERS: usize = 9;
 /// All voters up to here, whatever may be lost: fewer would hold fewer copies.
@@ -41,6 +34,8 @@
 pub struct MemberObservation {
     /// How long it hasn't answered.
     pub silent: Duration,
+    /// How long this leader has known it: since its first request, or since this leader leads.
+    pub known_for: Duration,
     /// Its log is near the leader's end.
     pub caught_up: bool,
 }
@@ -99,12 +94,13 @@
     joiners: &[JoinRequest],
     entry: u64,
     policy: &CorePolicy,
+    bounds: &MembershipBounds,
     observe: impl Fn(u64) -> MemberObservation,
 ) -> Option<Membership> {
     if current.is_joint() {
         return None;
     }
-    let planner = Planner { current, me, policy, observe };
+    let planner = Planner { current, me, policy, bounds, observe };
     let mut next = planner.settled();
     next.learners.extend(planner.admitted(joiners, entry));
     (next != *current).then_some(next)
@@ -114,6 +110,7 @@
     current: &'a Membership,
     me: u64,
     policy: &'a CorePolicy,
+    bounds: &'a MembershipBounds,
     observe: F,
 }
 
@@ -124,7 +121,7 @@
 
     /// A standby that may vote from now on.
     fn ready(&self, m: &Member) -> bool {
-        (self.observe)(m.id).caught_up && !self.silent(m, REPLACED)
+        (self.observe)(m.id).caught_up && !self.silent(m, self.bounds.replace_after)
     }
 
     /// The later life of a member's machine, if it is here.
@@ -142,7 +139,7 @@
         let ready = ready.filter(|m| self.successor(m).is_none());
         let staying = self.current.voters.iter().filter(|m| !replaced(m));
         let (gone, here): (Vec<&Member>, Vec<&Member>) =
-            staying.partition(|m| self.silent(m, GONE));
+            staying.partition(|m| self.silent(m, self.bounds.remove_after));
         let mut pool: Vec<&Member> = here.into_iter().chain(ready).collect();
         let lacking = self.policy.floor().saturating_sub(pool.len());
         pool.extend(gone.into_iter().take(lacking));
@@ -159,7 +156,7 @@
                 let domain = self.policy.domain(m);
                 let beside = chosen.iter().filter(|c| self.policy.domain(c) == domain).count();
                 let votes = self.current.voters.iter().any(|v| v.id == m.id);
-                (m.id != self.me, self.silent(m, REPLACED), beside, !votes, m.id)
+                (m.id != self.me, self.silent(m, self.bounds.replace_after), beside, !votes, m.id)
             };
             let best = (0..left.len()).min_by_key(|i| rank(left[*i])).unwrap_or(0);
             chosen.push(left.swap_remove(best));
@@ -167,10 +164,20 @@
         chosen
     }
 
-    /// How many vote. Machines that may not answer never make more voters than there are: their
-    /// successors may be among the others.
+    /// Whether this machine is alive and no newcomer is in its place: it answered a round that was sent
+    /// after the last newcomer of the pool was known, and a short while ago.
+    fn surely_here(&self, m: &Member, newest: Duration) -> bool {
+        let silent = (self.observe)(m.id).silent;
+        m.id == self.me || (silent <= self.bounds.doubt_after && silent < newest)
+    }
+
+    /// How many vote. Machines that may not be here any more never make more voters than there are:
+    /// their successors may be among the others.
     fn voter_count(&self, pool: &[&Member]) -> usize {
-        let answering = pool.iter().filter(|m| !self.silent(m, UNSURE)).count();
+        let coming = pool.iter().filter(|m| !self.current.is_voter(m.id));
+        let newest = coming.map(|m| (self.observe)(m.id).known_for).min();
+        let newest = newest.unwrap_or(Duration::MAX);
+        let answering = pool.iter().filter(|m| self.surely_here(m, newest)).count();
         let machines = answering.max(pool.len().min(self.current.voters.len()));
         self.policy.voters_of(machines)
     }
@@ -189,14 +196,14 @@
         staying.chain(coming).cloned().collect()
     }
 
-    /// The membership without newcomers: others than voters stay as standbys, unless they are gone or a
-    /// later life of their machine is here.
+    /// The membership without newcomers: others than voters stay as standbys, unless they are long gone
+    /// or a later life of their machine is here.
     fn settled(&self) -> Membership {
         let voters = self.voters();
         let is_voter = |m: &Member| voters.iter().any(|v| v.id == m.id);
         let keeps = |m: &&Member| {
             let replaced = self.successor(m).is_some();
-            !is_voter(m) && !replaced && !self.silent(m, GONE)
+            !is_voter(m) && !replaced && !self.silent(m, self.bounds.forget_after)
         };
         let learners = self.current.learners.iter().filter(keeps);
         let leaving = self.current.voters.iter().filter(keeps);
--- a/crates/control-cell/src/prelude.rs
+++ b/crates/control-cell/src/prelude.rs
@@ -1,8 +1,8 @@
 //! The one module every file of this package imports.
-pub use crate::actor::{CellCommand, CellHandle, Waiting};
+pub use crate::actor::{CellCommand, CellHandle, Waiting, DUTY_EVERY};
 pub use crate::duties::{
     next_holders, next_membership, next_stores, CorePolicy, JoinRequest, MemberObservation,
-    RecoveryBounds, StoreObservation,
+    MembershipBounds, RecoveryBounds, RecoverySteps, StoreObservation,
 };
 pub use crate::feed::{FeedBook, FollowFrom, OpenedFeed, Wants, KEPT, KEPT_BYTES};
 pub use crate::orders::{ChangedPart, DeskEvent, OrderDesk, UnreadableState};
--- a/crates/control-cell/tests/common/mod.rs
+++ b/crates/control-cell/tests/common/mod.rs
@@ -40,7 +40,7 @@
         Place { net, dir }
     }
 
-    fn settings(&self, i: usize) -> NodeSettings {
+    pub fn settings(&self, i: usize) -> NodeSettings {
         let Place { net, dir } = self;
         let seeds: Vec<String> = (61..=63).map(|n| format!("\"{net}.{n}:1\"")).collect();
         let text = format!(
--- a/crates/control-cell/tests/core_schedules.rs
+++ b/crates/control-cell/tests/core_schedules.rs
@@ -1,21 +1,21 @@
-//! The core under its membership policy: machines are killed, wiped, replaced and cut, as many at once as
-//! are tolerated, the next one as soon as the one before counts as back. At every step, as many further
-//! losses leave a majority as are still tolerated.
+//! The core under its membership policy: machines are killed, wiped, replaced (also as a planned step) and
+//! cut, as many at once as are tolerated, the next one as soon as the one before counts as back. The clock
+//! moves by the smallest and largest steps that the bounds allow: a newcomer asks to be taken in as soon as
+//! it started, before its predecessor's silence can be noticed, or late. At every step, as many further
+//! losses as are still tolerated leave a majority and a copy of all that was agreed on; a loss that is over
+//! is made good a margin before it stops counting.
 #[path = "../../agreement/tests/model/mod.rs"]
 mod model;
 
+use agreement::core::Event;
 use arbtest::arbitrary::{Result as Generated, Unstructured};
 use control_cell::prelude::*;
 use model::{World, STEP};
-use node_base::settings::Tolerated;
+use node_base::settings::{Bounds, Tolerated};
 
-/// How long a machine still counts as lost after it is back.
-const CATCH_UP: Duration = Duration::from_millis(4100);
-const FIRST_JOIN: Duration = Duration::from_millis(700);
-const JOIN_AGAIN: Duration = Duration::from_millis(500);
-const JOIN_CONTACT: Duration = Duration::from_millis(1500);
-const JOINER_KEPT: Duration = Duration::from_secs(2);
-const OLD_LEADER_SILENT: Duration = Duration::from_secs(1);
+/// How long a machine still counts as lost after it is back: the smallest value for which the waits leave
+/// their margin, and others.
+const CATCH_UPS: [u64; 4] = [3800, 4100, 4200, 6000];
 const STEPS_PER_DUTY: usize = 4;
 const STEPS_PER_SNAPSHOT: usize = 50;
 
@@ -29,6 +29,12 @@
     Replace,
 }
 
+/// A machine that is told to stop once its successor has run for a while.
+struct Planned {
+    id: u64,
+    told: Duration,
+}
+
 struct Machine {
     id: u64,
     name: u64,
@@ -41,30 +47,56 @@
     asked: Option<u64>,
 }
 
+fn bounds(catch_up: u64) -> MembershipBounds {
+    MembershipBounds::from_settings(&Bounds {
+        contact: Duration::from_millis(3000),
+        acknowledge: Duration::from_millis(4000),
+        catch_up: Duration::from_millis(catch_up),
+        drain: Duration::from_millis(3000),
+        grace: Duration::from_secs(8),
+        config_apply: Duration::from_millis(2000),
+        reuse_after: Duration::from_secs(2),
+    })
+}
+
 struct Core {
     world: World,
     machines: Vec<Machine>,
     tolerated: u32,
+    catch_up: Duration,
+    /// How long a newcomer waits before it first asks to be taken in.
+    first_join: Duration,
+    bounds: MembershipBounds,
+    planned: Vec<Planned>,
+    leaving: BTreeMap<u64, Duration>,
     joiners: BTreeMap<u64, (JoinRequest, Duration)>,
+    /// Since when the leader has known them.
+    known_since: BTreeMap<u64, Duration>,
     /// Requests of lives that are over, still on their way.
     late: Vec<JoinRequest>,
     leader: Option<(u64, Duration)>,
-    old_leader: Option<u64>,
     fresh: u64,
     steps: usize,
 }
 
 impl Core {
-    fn new(count: u64, tolerated: u32) -> Self {
+    /// `start`: what share of the wait before its first request a newcomer has behind it when it starts.
+    fn new(count: u64, tolerated: u32, catch_up: u64, start: f64) -> Self {
+        let first_join = bounds(catch_up).first_join.mul_f64(1.0 - start);
         let founders: Vec<u64> = (1..=count.min(3)).collect();
         let mut core = Core {
             world: World::new(&founders),
             machines: Vec::new(),
             tolerated,
+            catch_up: Duration::from_millis(catch_up),
+            first_join,
+            bounds: bounds(catch_up),
+            known_since: BTreeMap::new(),
+            planned: Vec::new(),
+            leaving: BTreeMap::new(),
             joiners: BTreeMap::new(),
             late: Vec::new(),
             leader: None,
-            old_leader: None,
             fresh: 100,
             steps: 0,
         };
@@ -78,7 +110,7 @@
                 zone: id % 4,
                 trouble: None,
                 lost_until: Duration::ZERO,
-                next_ask: FIRST_JOIN,
+                next_ask: first_join,
                 asked: None,
             });
         }
@@ -105,6 +137,11 @@
         m.trouble.is_some() || self.world.now < m.lost_until
     }
 
+    /// Lost, or back for so short that what it lost may still be missing.
+    fn recovering(&self, m: &Machine) -> bool {
+        m.trouble.is_some() || self.world.now + self.bounds.margin < m.lost_until
+    }
+
     fn losses(&self) -> usize {
         self.machines.iter().filter(|m| self.lost(m)).count()
     }
@@ -141,7 +178,7 @@
                     self.fresh += 1;
                     let m = &mut self.machines[i];
                     m.id = self.fresh;
-                    m.next_ask = now + FIRST_JOIN;
+                    m.next_ask = now + self.first_join;
                     m.asked = None;
                     if trouble == Trouble::Replace {
                         m.name = self.fresh;
@@ -153,7 +190,57 @@
                 }
             }
             self.machines[i].trouble = None;
-            self.machines[i].lost_until = now + CATCH_UP;
+            self.machines[i].lost_until = now + self.catch_up;
+        }
+    }
+
+    /// A newcomer starts; the machine whose place it is to take is told to stop a while later.
+    fn replace_as_planned(&mut self, i: usize, after: Duration) {
+        let now = self.world.now;
+        self.fresh += 1;
+        self.world.start_empty(self.fresh);
+        self.planned.push(Planned { id: self.machines[i].id, told: now + after });
+        self.machines.push(Machine {
+            id: self.fresh,
+            name: self.fresh,
+            zone: self.machines[i].zone,
+            trouble: None,
+            lost_until: now + self.catch_up,
+            next_ask: now + self.first_join,
+            asked: None,
+        });
+    }
+
+    /// Machines that were told to stop end once the leader says that they vote no more, or in their time.
+    fn end_as_planned(&mut self) {
+        let now = self.world.now;
+        let agreed = |id: u64| {
+            let node = self.world.leader().map(|l| self.world.node(l));
+            node.is_some_and(|n| {
+                let settled = n.log.membership_index() <= n.commit;
+                self.leaving.contains_key(&id) && settled && !n.log.membership().is_voter(id)
+            })
+        };
+        let ends = |p: &Planned| agreed(p.id) || now >= p.told + self.bounds.leave_within;
+        let ended: Vec<u64> = self.planned.iter().filter(|p| ends(p)).map(|p| p.id).collect();
+        self.planned.retain(|p| !ended.contains(&p.id));
+        self.machines.retain(|m| !ended.contains(&m.id));
+        self.world.nodes.retain(|id, _| !ended.contains(id));
+    }
+
+    /// Machines that were told to stop tell the leader, which hands over to one that stays.
+    fn announce_leaving(&mut self) {
+        let now = self.world.now;
+        let told = |p: &&Planned| now >= p.told;
+        let told: Vec<u64> = self.planned.iter().filter(told).map(|p| p.id).collect();
+        self.leaving.retain(|_, at| now < *at + DUTY_EVERY * 3);
+        let Some(leader) = self.world.leader() else { return };
+        let reaches = |id: &u64| !self.world.is_cut(*id, leader);
+        self.leaving.extend(told.iter().filter(|id| reaches(id)).map(|id| (*id, now)));
+        let node = self.world.node(leader);
+        if told.contains(&leader) && node.commit == node.log.last() {
+            let leaving = self.leaving.keys().copied().collect();
+            self.world.step(leader, Event::HandOver { leaving });
         }
     }
 
@@ -173,13 +260,14 @@
             if let Some(Some(read_at)) = confirmed {
                 let request = JoinRequest { member: self.member(m), read_at };
                 self.joiners.insert(id, (request, now));
+                self.known_since.entry(id).or_insert(now);
                 self.machines[i].asked = None;
             }
             let node = self.world.node(id);
-            let heard = node.last_contact().is_some_and(|at| now < at + JOIN_CONTACT);
+            let heard = node.last_contact().is_some_and(|at| now < at + self.bounds.replace_after);
             let known = node.is_member() && heard;
             if !known && now >= self.machines[i].next_ask {
-                self.machines[i].next_ask = now + JOIN_AGAIN;
+                self.machines[i].next_ask = now + self.bounds.join_again;
                 self.machines[i].asked = Some(self.world.read(leader));
             }
         }
@@ -190,14 +278,15 @@
         let Some(leader) = self.world.leader() else { return };
         let since = match self.leader {
             Some((id, since)) if id == leader => since,
-            before => {
-                self.old_leader = before.map(|(id, _)| id);
+            _ => {
                 self.leader = Some((leader, now));
                 self.joiners.clear();
+                self.known_since.clear();
+                self.leaving.clear();
                 now
             }
         };
-        self.joiners.retain(|_, (_, at)| now < *at + JOINER_KEPT);
+        self.joiners.retain(|_, (_, at)| now < *at + self.bounds.joiner_kept);
         let node = self.world.node(leader);
         if node.commit < node.log.last() || !node.ready_to_serve(now) {
             return;
@@ -206,17 +295,19 @@
             let led = now - since;
             let silent = match node.last_contact_with(id) {
                 _ if id == leader => Duration::ZERO,
+                _ if self.leaving.contains_key(&id) => Duration::MAX,
                 Some(at) if at > since => now.saturating_sub(at),
-                _ if self.old_leader == Some(id) => led + OLD_LEADER_SILENT,
-                _ => led,
+                _ => led + node.tuning.election_low,
             };
             let caught_up = node.follower(id).is_some_and(|f| f.caught_up);
-            MemberObservation { silent, caught_up }
+            let known_for = self.known_since.get(&id).map_or(led, |at| now - *at);
+            MemberObservation { silent, known_for, caught_up }
         };
         let joiners: Vec<JoinRequest> = self.joiners.values().map(|(r, _)| r.clone()).collect();
         let entry = node.log.last() + 1;
         let current = node.log.membership();
-        let next = next_membership(current, leader, &joiners, entry, &self.policy(), observe);
+        let (policy, bounds) = (self.policy(), &self.bounds);
+        let next = next_membership(current, leader, &joiners, entry, &policy, bounds, observe);
         if let Some(next) = next {
             self.world.propose(Body::Membership(next));
         }
@@ -224,15 +315,26 @@
 
     /// Losses that a set of voters bears beyond those of now.
     fn spare(&self, voters: &[Member]) -> i64 {
-        let here = |v: &&Member| self.machines.iter().any(|m| m.id == v.id && !self.lost(m));
+        let here = |v: &&Member| self.machines.iter().any(|m| m.id == v.id && !self.recovering(m));
         let alive = voters.iter().filter(here).count();
         alive as i64 - (voters.len() / 2 + 1) as i64
     }
 
+    /// Machines with the newest entry that was agreed on, but those that are lost.
+    fn copies(&self) -> i64 {
+        let newest = self.world.agreed.keys().last().copied().unwrap_or(0);
+        let holds = |m: &&Machine| {
+            let node = self.world.nodes.get(&m.id);
+            !self.recovering(m) && node.is_some_and(|n| n.disk.last() >= newest)
+        };
+        self.machines.iter().filter(holds).count() as i64
+    }
+
     fn check(&self) {
-        let losses = self.losses();
-        assert!(losses <= self.tolerated as usize);
+        assert!(self.losses() <= self.tolerated as usize);
+        let losses = self.machines.iter().filter(|m| self.recovering(m)).count();
         let want = i64::from(self.tolerated) - losses as i64;
+        assert!(self.copies() > want, "{} copies at {:?}", self.copies(), self.world.now);
         for m in self.world.memberships_in_force() {
             let spare = match m.is_joint() {
                 true => self.spare(&m.voters).min(self.spare(&m.outgoing)),
@@ -246,11 +348,14 @@
         self.steps += 1;
         self.world.now += STEP;
         self.end_troubles();
+        self.end_as_planned();
         self.world.tick_all();
         self.world.deliver_all();
         self.ask_to_join();
         self.world.deliver_all();
         if self.steps.is_multiple_of(STEPS_PER_DUTY) {
+            self.announce_leaving();
+            self.world.deliver_all();
             self.duties();
             self.world.propose(model::command((self.steps % 250) as u8));
             self.world.deliver_all();
@@ -277,6 +382,8 @@
         if self.losses() >= self.tolerated as usize || well.is_empty() {
             return Ok(());
         }
+        let leaves = |i: &usize| self.planned.iter().any(|p| p.id == self.machines[*i].id);
+        let well: Vec<usize> = well.into_iter().filter(|i| !leaves(i)).collect();
         let leader = self.world.leader();
         let leads = well.iter().copied().find(|i| Some(self.machines[*i].id) == leader);
         let any = *u.choose(&well)?;
@@ -284,6 +391,11 @@
             true => leads.unwrap_or(any),
             false => any,
         };
+        if u.ratio(1, 5)? {
+            let after = Duration::from_millis(*u.choose(&[200, 500, 1000, 2000])?);
+            self.replace_as_planned(i, after);
+            return Ok(());
+        }
         let trouble = *u.choose(&[
             Trouble::Kill,
             Trouble::Wipe,
@@ -292,7 +404,7 @@
             Trouble::Deafen,
             Trouble::Replace,
         ])?;
-        let lasts = Duration::from_millis(*u.choose(&[100, 600, 1500, 3000, 6000, 25_000])?);
+        let lasts = Duration::from_millis(*u.choose(&[100, 200, 600, 1500, 3000, 6000, 25_000])?);
         self.trouble(i, trouble, lasts);
         Ok(())
     }
@@ -302,6 +414,7 @@
         if !self.late.is_empty() {
             let i = u.int_in_range(0..=self.late.len() - 1)?;
             let request = self.late[i].clone();
+            self.known_since.entry(request.member.id).or_insert(self.world.now);
             self.joiners.insert(request.member.id, (request, self.world.now));
         }
         Ok(())
@@ -333,7 +446,8 @@
     for (machines, tolerated) in [(3, 1), (4, 1), (5, 1), (5, 2), (6, 2), (8, 2)] {
         for seed in 0..SEEDS {
             arbtest::arbtest(|u| {
-                let mut core = Core::new(machines, tolerated);
+                let start = *u.choose(&[0.0, 0.3, 0.8, 1.0])?;
+                let mut core = Core::new(machines, tolerated, *u.choose(&CATCH_UPS)?, start);
                 for _ in 0..u.int_in_range(5..=60)? {
                     core.run(u.int_in_range(1..=40)?);
                     match u.ratio(1, 4)? {
@@ -354,21 +468,24 @@
 /// through the whole core and more.
 #[test]
 fn a_second_loss_right_after_each_replacement() {
-    for (machines, tolerated) in [(3, 1), (4, 1), (5, 2)] {
+    for (machines, tolerated) in [(3, 1), (4, 1), (5, 1), (5, 2), (6, 2), (8, 2)] {
         for trouble in [Trouble::Wipe, Trouble::Replace] {
-            let mut core = Core::new(machines, tolerated);
-            for i in 0..12 {
-                let first = i % core.machines.len();
-                for also in 0..tolerated as usize {
-                    let at = (first + also) % core.machines.len();
-                    core.trouble(at, trouble, Duration::from_millis(300));
-                }
-                while core.losses() > 0 {
-                    core.step();
+            for (start, apart) in [(1.0, 0), (0.0, 0), (1.0, 1000), (0.0, 1000)] {
+                let mut core = Core::new(machines, tolerated, CATCH_UPS[1], start);
+                for i in 0..12 {
+                    let first = i % core.machines.len();
+                    for also in 0..tolerated as usize {
+                        let at = (first + also) % core.machines.len();
+                        core.trouble(at, trouble, Duration::from_millis(200));
+                        core.run(apart / 60);
+                    }
+                    while core.losses() > 0 {
+                        core.step();
+                    }
                 }
+                core.run(450);
+                core.assert_calm();
             }
-            core.run(450);
-            core.assert_calm();
         }
     }
 }
--- a/crates/control-cell/tests/members.rs
+++ b/crates/control-cell/tests/members.rs
@@ -1,12 +1,40 @@
 //! The membership policy, step by step.
-use control_cell::prelude::*;
-use node_base::settings::Tolerated;
-
-const CALM: MemberObservation = MemberObservation { silent: Duration::ZERO, caught_up: true };
-const LATE: MemberObservation = MemberObservation { silent: Duration::ZERO, caught_up: false };
+use control_cell::duties;
+use control_cell::prelude::{
+    BTreeMap, CorePolicy, Duration, JoinRequest, Member, MemberObservation, Membership,
+    MembershipBounds,
+};
+use node_base::settings::{Bounds, Tolerated};
+
+const CALM: MemberObservation = MemberObservation {
+    silent: Duration::ZERO,
+    known_for: Duration::from_secs(60),
+    caught_up: true,
+};
+const LATE: MemberObservation = MemberObservation { caught_up: false, ..CALM };
 
 fn silent(secs: u64) -> MemberObservation {
-    MemberObservation { silent: Duration::from_secs(secs), caught_up: false }
+    MemberObservation { silent: Duration::from_secs(secs), ..LATE }
+}
+
+fn next_membership(
+    current: &Membership,
+    me: u64,
+    joiners: &[JoinRequest],
+    entry: u64,
+    policy: &CorePolicy,
+    observe: impl Fn(u64) -> MemberObservation,
+) -> Option<Membership> {
+    let bounds = MembershipBounds::from_settings(&Bounds {
+        contact: Duration::from_millis(3000),
+        acknowledge: Duration::from_millis(4000),
+        catch_up: Duration::from_millis(4100),
+        drain: Duration::from_millis(3000),
+        grace: Duration::from_secs(8),
+        config_apply: Duration::from_millis(2000),
+        reuse_after: Duration::from_secs(2),
+    });
+    duties::next_membership(current, me, joiners, entry, policy, &bounds, observe)
 }
 
 fn member(id: u64) -> Member {
@@ -113,6 +141,23 @@
     assert_eq!((ids(&next.voters), ids(&next.learners)), (vec![1, 3, 4], vec![]));
 }
 
+/// A newcomer that may be in the place of a machine whose silence isn't noticed yet makes no more voters;
+/// once every other has answered after it came, it does.
+#[test]
+fn a_newcomer_counts_once_all_others_are_surely_here() {
+    let current = of(&[1, 2, 3], &[4, 5]);
+    let observe = |since_last_answer: u64| {
+        move |id| match id {
+            2 => MemberObservation { silent: Duration::from_millis(since_last_answer), ..CALM },
+            5 => MemberObservation { known_for: Duration::from_millis(250), ..CALM },
+            _ => CALM,
+        }
+    };
+    assert_eq!(next_membership(&current, 1, &[], 9, &machines(1), observe(250)), None);
+    let next = next_membership(&current, 1, &[], 9, &machines(1), observe(249)).unwrap();
+    assert_eq!(ids(&next.voters), [1, 2, 3, 4, 5]);
+}
+
 /// Voters that are gone stay in the count where fewer would be left than losses are to be borne with.
 #[test]
 fn the_voters_never_become_too_few() {
