Cells: a cell whose actor stands still ends in its time

Change: run_cell_on waits twice leave_within at the most. Measured: compiles; no test (not run). Conclusion: none beyond that.

--- a/crates/control-cell/src/lib.rs
+++ b/crates/control-cell/src/lib.rs
@@ -68,6 +68,8 @@
     let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
         .map_err(|e| NodeError::Io { what: "SIGTERM".into(), source: e })?;
     term.recv().await;
-    cell.leave().await;
+    // An actor that stands still (its disk is full) doesn't hold up the end.
+    let bounds = MembershipBounds::from_settings(&shared.now().bounds);
+    let _ = tokio::time::timeout(bounds.leave_within * 2, cell.leave()).await;
     Ok(())
 }
