--- a/crates/agreement/src/core/replicate.rs
+++ b/crates/agreement/src/core/replicate.rs
@@ -153,13 +153,11 @@
     pub(super) fn heartbeat_reply(&mut self, from: u64, round: u64, now: Duration) {
         let bound = self.tuning.contact_bound();
         let Some(lead) = &mut self.lead else { return };
-        if lead.round_answered(from, round, bound) {
-            if let Some(progress) = self.progress(from) {
-                progress.returned();
-            }
+        let back = lead.round_answered(from, round, bound);
+        self.count(now);
+        if back {
             self.send_log(from, now);
         }
-        self.count(now);
     }
 
     pub(super) fn append_reply(&mut self, from: u64, ok: bool, matched: u64, now: Duration) {
--- a/crates/control-cell/src/actor/mod.rs
+++ b/crates/control-cell/src/actor/mod.rs
@@ -6,6 +6,7 @@
 mod duties;
 mod handle;
 mod items;
+mod leaving;
 mod links;
 mod membership;
 mod publish;
