--- a/crates/turn-store/src/tables/mod.rs
+++ b/crates/turn-store/src/tables/mod.rs
@@ -147,7 +147,7 @@
     /// A store has transferred all it holds; true when this one is caught up by that.
     pub fn transferred(&mut self, version: u64, from: u64, caught_up: Option<VersionSpan>) -> bool {
         self.history.transferred(version, from, caught_up);
-        self.history.complete(self.programs.keys().map(|p| StoreSet::key_of(p)))
+        self.history.complete()
     }
 
     /// Refuses what was made under another set than the one in force here, and all as long as the set
@@ -253,6 +253,7 @@
                 version: self.history.set.version,
                 disk_bytes: 0,
                 fresh: self.history.caught_up.is_none(),
+                beyond_proof: self.history.is_beyond_proof(),
             },
         }
     }
