Drain: machines that leave together stop one after the other, and end once they are empty

Cause: with admission by expected end alone all machines that were stopped at once refused at once, for as long as the longest work is expected to take, and stayed to the end of the grace since new connections kept coming. Programs that found only refusals failed.

Change: each proxy has a moment of its own, between the time the entry needs to notice and the last at which its longest work still fits (drain.rs, by a hash of the machine's name); from it on it takes nothing more and ends as soon as what is under way has its answer. Retry-After is 0.1 s while the entry has other machines, and a sixteenth of the grace once it has had time to notice and still sends here. A connection without a request no longer holds a leaving process for the idle time, only for that of a head. The agent stays for the proxies that were fed when SIGTERM came, no longer for one that was started in their place.

Tests of request-proxy, feed-agent and spokebank pass; so do whole_path and clients.

--- a/crates/feed-agent/src/keep/mod.rs
+++ b/crates/feed-agent/src/keep/mod.rs
@@ -89,7 +89,8 @@
 
 const LOOK: Duration = Duration::from_millis(50);
 
-/// Keeps the view until `leaving` says so and no proxy is left to feed.
+/// Keeps the view until `leaving` says so and the proxies that were fed by then have gone. A proxy that
+/// starts meanwhile is fed too, but doesn't hold the agent: it goes on with the agent's successor.
 pub async fn keep(
     mut k: Keeper,
     mut news: mpsc::Receiver<FeedUpdate>,
@@ -97,11 +98,16 @@
     mut reports: mpsc::Receiver<NodeReport>,
     mut leaving: watch::Receiver<bool>,
 ) {
+    let mut stays_for = Vec::new();
+    let mut left = false;
     loop {
-        let left = *leaving.borrow();
+        if !left && *leaving.borrow() {
+            left = true;
+            stays_for = k.proxies.iter().map(mpsc::Sender::downgrade).collect();
+        }
         if left {
-            k.proxies.retain(|p| !p.is_closed());
-            if k.proxies.is_empty() {
+            stays_for.retain(|p| p.upgrade().is_some_and(|p| !p.is_closed()));
+            if stays_for.is_empty() {
                 return;
             }
         }
--- a/crates/feed-agent/tests/keeper.rs
+++ b/crates/feed-agent/tests/keeper.rs
@@ -1,5 +1,5 @@
 //! What the agent keeps and tells, both ways.
-use feed_agent::prelude::*;
+use feed_agent::{keep, prelude::*};
 use routing_trial::prelude::{check_spec, Evidence, NodeReport, TrialRecord, Verdict};
 
 fn keeper() -> (Keeper, watch::Receiver<Option<Vec<NodeReport>>>) {
@@ -58,3 +58,31 @@
     k.count(report(key, 20, 1));
     assert!(word.borrow().is_none());
 }
+
+/// The proxy that ends beside the agent is fed to its end; the one that is started in its place doesn't
+/// hold the agent, and is fed meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_leaving_agent_stays_for_the_proxies_that_leave_with_it() {
+    let (news, from_cells) = mpsc::channel(8);
+    let (open, opens) = mpsc::channel(8);
+    let (_counted, reports) = mpsc::channel(8);
+    let (leave, leaving) = watch::channel(false);
+    let kept = tokio::spawn(keep::keep(keeper().0, from_cells, opens, reports, leaving));
+    let ask = async || {
+        let (reply, fed) = oneshot::channel();
+        open.send(reply).await.unwrap();
+        fed.await.unwrap().0
+    };
+    let old = ask().await;
+    leave.send(true).unwrap();
+    // Virtual time: it passes once the agent has taken note.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut new = ask().await;
+    assert!(new.recv().await.is_some(), "its snapshot");
+    news.send(FeedUpdate::Items(vec![FeedItem::Current])).await.unwrap();
+    assert_eq!(new.recv().await.unwrap()[0].item, FeedItem::Current);
+    assert!(!kept.is_finished(), "the old proxy is still there");
+    drop(old);
+    let ended = tokio::time::timeout(Duration::from_secs(1), kept).await;
+    assert!(ended.is_ok(), "held by a proxy that came later");
+}
--- a/crates/request-proxy/src/app/mod.rs
+++ b/crates/request-proxy/src/app/mod.rs
@@ -47,6 +47,8 @@
     pub bank: Arc<TurnBank>,
     /// The routing trial, as far as this node has a part in it.
     pub trial: TrialDesk,
+    /// One clone is held by each request whose answer isn't written whole.
+    pub in_flight: Arc<()>,
     /// Which work may begin, once the proxy is leaving.
     pub admission: Mutex<Admission>,
 }
@@ -73,6 +75,7 @@
             pool: Pool::new(),
             bank: Arc::new(TurnBank::new(&shared, cache_bytes)),
             trial: TrialDesk::new(&settings.node_name),
+            in_flight: Arc::new(()),
             admission: Mutex::new(Admission::default()),
             settings: shared,
         })
@@ -134,6 +137,11 @@
         matches!(got, Ok(Ok(state)) if state.admits())
     }
 
+    /// Nothing is under way, and nothing that may still come would be admitted.
+    pub fn drained(&self) -> bool {
+        locked(&self.admission).takes_no_more(self.now()) && Arc::strong_count(&self.in_flight) == 1
+    }
+
     /// Waits until the life has ended.
     pub async fn life_ended(&self) {
         if let Some(mut life) = self.follow_life() {
--- a/crates/request-proxy/src/door/idle.rs
+++ b/crates/request-proxy/src/door/idle.rs
@@ -64,12 +64,17 @@
 pub struct BusyBody {
     body: ProxyBody,
     _busy: Busy,
+    _in_flight: Arc<()>,
 }
 
 impl BusyBody {
     /// The same answer, holding the request that it ends.
-    pub fn around(answer: Response<ProxyBody>, busy: Busy) -> Response<BusyBody> {
-        answer.map(|body| BusyBody { body, _busy: busy })
+    pub fn around(
+        answer: Response<ProxyBody>,
+        busy: Busy,
+        in_flight: Arc<()>,
+    ) -> Response<BusyBody> {
+        answer.map(|body| BusyBody { body, _busy: busy, _in_flight: in_flight })
     }
 }
 
--- a/crates/request-proxy/src/door/serve.rs
+++ b/crates/request-proxy/src/door/serve.rs
@@ -36,7 +36,8 @@
 }
 
 /// Takes connections until the life ends. While it is closing, whatever the entry still sends is
-/// answered, one answer a connection; it ends once there has been no connection for a moment. Then
+/// answered, one answer a connection; it ends once there has been no connection for a moment, or once nothing is under way and nothing
+/// more is admitted. Then
 /// nothing listens any more, and what is left has its end.
 pub async fn serve_front(
     listener: TcpListener,
@@ -63,7 +64,7 @@
             _ = tokio::time::sleep(LOOK), if !now.listens() => {
                 let idle = room.available_permits() == most;
                 calm = if idle { calm + 1 } else { 0 };
-                if calm >= CALM_LOOKS {
+                if calm >= CALM_LOOKS || app.drained() {
                     break;
                 }
                 continue;
@@ -78,6 +79,7 @@
         });
     }
     drop(listener);
+    app.live_on(LifeEvent::Done);
     let _ = room.acquire_many(most as u32).await;
 }
 
@@ -120,13 +122,13 @@
     let (svc_app, svc_rest) = (app.clone(), rest.clone());
     let svc = hyper::service::service_fn(move |req: Request<Incoming>| {
         let app = svc_app.clone();
-        let busy = svc_rest.begin(idle_time(&app));
+        let (busy, in_flight) = (svc_rest.begin(idle_time(&app)), app.in_flight.clone());
         async move {
             let mut r = flow::serve(&app, req).await;
             if app.life().leaving() {
                 r.headers_mut().insert("connection", HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(BusyBody::around(r, busy))
+            Ok::<_, Infallible>(BusyBody::around(r, busy, in_flight))
         }
     });
     let conn = http1::Builder::new()
--- a/crates/request-proxy/src/life/admission.rs
+++ b/crates/request-proxy/src/life/admission.rs
@@ -45,21 +45,32 @@
     longest + longest / 4
 }
 
-/// The connection that a client opens next goes to another machine.
-const TRY_ANOTHER: Duration = Duration::from_millis(100);
-
 /// The admission rule, and what it is based on. Invariant: a drain that has begun is never taken back.
 #[derive(Debug, Default)]
 pub struct Admission {
     /// What work took here.
     pub history: WorkHistory,
-    drain: Option<DrainClock>,
+    drain: Option<Drain>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Drain {
+    clock: DrainClock,
+    admits_until: Duration,
 }
 
 impl Admission {
-    /// From now on only what ends by the clock's `work_ends` is admitted.
-    pub fn begin_drain(&mut self, clock: DrainClock) {
-        self.drain.get_or_insert(clock);
+    /// From now on only what ends by the clock's `work_ends` is admitted, and nothing from its
+    /// `admits_until(share)` on.
+    pub fn begin_drain(&mut self, clock: DrainClock, share: f64) {
+        let longest = with_margin(self.history.longest());
+        let admits_until = clock.admits_until(share, longest);
+        self.drain.get_or_insert(Drain { clock, admits_until });
+    }
+
+    /// Whether nothing that comes now or later is admitted.
+    pub fn takes_no_more(&self, now: Duration) -> bool {
+        self.drain.is_some_and(|d| now >= d.admits_until)
     }
 
     /// Whether work may begin now.
@@ -71,9 +82,10 @@
             Some(takes) => work.over.min(now + takes),
             None => work.over,
         };
-        match ends <= drain.work_ends() {
+        let closed = work.stage == WorkStage::Arrived && now >= drain.admits_until;
+        match !closed && ends <= drain.clock.work_ends() {
             true => Verdict::Admit,
-            false => Verdict::Refuse { retry_after: TRY_ANOTHER },
+            false => Verdict::Refuse { retry_after: drain.clock.retry_after(now) },
         }
     }
 
--- a/crates/request-proxy/tests/drain.rs
+++ b/crates/request-proxy/tests/drain.rs
@@ -34,6 +34,8 @@
 
 struct Schedule {
     grace: Duration,
+    /// The proxy's place among those that leave at the same time.
+    share: f64,
     requests: Vec<Request>,
 }
 
@@ -61,7 +63,8 @@
             allowed: SECOND + millis(u, 20_000)?,
         });
     }
-    Ok(Schedule { grace, requests })
+    let share = f64::from(u.int_in_range(0..=100_u8)?) / 100.0;
+    Ok(Schedule { grace, share, requests })
 }
 
 /// The proxy as the schedule sees it.
@@ -121,7 +124,7 @@
             Step::Life(event) => {
                 proxy.life.handle(&event);
                 if event == LifeEvent::Term {
-                    proxy.admission.begin_drain(clock);
+                    proxy.admission.begin_drain(clock, schedule.share);
                 }
             }
             Step::Arrives(i) => {
@@ -197,7 +200,7 @@
         admission.history.ran(CALL, took);
     }
     let clock = DrainClock::new(TERM, grace);
-    admission.begin_drain(clock);
+    admission.begin_drain(clock, 1.0);
     (admission, clock)
 }
 
@@ -261,7 +264,8 @@
     assert_eq!(history.longest_run(CALL), Some(short));
 }
 
-/// The times of a drain keep their order and their margin to the grace, whatever it is.
+/// The times of a drain keep their order and their margin to the grace, whatever it is; machines that
+/// leave together stop one after the other, each early enough for its longest work.
 #[test]
 fn a_drain_ends_inside_the_grace() {
     for grace in 1..=120 {
@@ -271,5 +275,27 @@
         assert!(TERM < clock.entry_notices() && clock.entry_notices() < work);
         assert!(work < process && process + grace / 32 <= TERM + grace);
         assert!(work >= TERM + grace * 9 / 10, "most of it is for work");
+        let longest = grace / 5;
+        let stops = [0.0, 0.25, 0.5, 0.75, 1.0].map(|share| clock.admits_until(share, longest));
+        assert!(stops.windows(2).all(|w| w[0] + grace / 32 < w[1]), "{stops:?}");
+        assert!(clock.entry_notices() < stops[0] && stops[4] + longest <= work);
+        assert!(clock.admits_until(1.0, grace * 2) > clock.entry_notices());
     }
 }
+
+/// Once a proxy takes no more, small work is refused as well: it ends with what is under way.
+#[test]
+fn a_proxy_that_takes_no_more_refuses_everything() {
+    let mut admission = leaving(SECOND * 8, 100, Duration::from_millis(10)).0;
+    let mut early = Admission::default();
+    std::mem::swap(&mut early.history, &mut admission.history);
+    let clock = DrainClock::new(TERM, SECOND * 8);
+    early.begin_drain(clock, 0.0);
+    let stop = clock.admits_until(0.0, Duration::from_millis(13));
+    let step = Duration::from_millis(20);
+    assert!(!early.takes_no_more(stop - step) && early.takes_no_more(stop + step));
+    assert!(admits(&early, CALL, stop - step, TERM + SECOND * 60));
+    assert!(!admits(&early, CALL, stop + step, TERM + SECOND * 60));
+    let placed = Work { size: CALL, stage: WorkStage::Placed, over: TERM + SECOND * 60 };
+    assert_eq!(early.decide(&placed, stop + step), Verdict::Admit, "taken before, and it fits");
+}
