Drain: two cohorts, so that overlapping rolls hand over to each other

Change: a leaving machine is in one of two cohorts, by the lowest bit of its name's hash, which alternates for machines numbered in a row. The first takes nothing more once the entry has noticed, ends as soon as it is empty, and is back before the second has to stop; the second goes on to the end of the grace, as far as what comes is expected to fit. Retry-After is 0.1 s, and the reserve (a sixteenth of the grace) at the second cohort once the entry has had time to notice.

--- a/crates/request-proxy/src/life/admission.rs
+++ b/crates/request-proxy/src/life/admission.rs
@@ -3,7 +3,7 @@
 //!
 //! Invariant: work that takes no longer than the longest of late, by a quarter more, or whose own time is
 //! over before, ends within the drain if it was admitted.
-use super::drain::DrainClock;
+use super::drain::{Cohort, DrainClock};
 use super::work::{WorkHistory, WorkSize};
 use crate::prelude::*;
 
@@ -56,21 +56,19 @@
 #[derive(Debug, Clone, Copy)]
 struct Drain {
     clock: DrainClock,
-    admits_until: Duration,
+    cohort: Cohort,
 }
 
 impl Admission {
     /// From now on only what ends by the clock's `work_ends` is admitted, and nothing from its
-    /// `admits_until(share)` on.
-    pub fn begin_drain(&mut self, clock: DrainClock, share: f64) {
-        let longest = with_margin(self.history.longest());
-        let admits_until = clock.admits_until(share, longest);
-        self.drain.get_or_insert(Drain { clock, admits_until });
+    /// `admits_until` on.
+    pub fn begin_drain(&mut self, clock: DrainClock, cohort: Cohort) {
+        self.drain.get_or_insert(Drain { clock, cohort });
     }
 
     /// Whether nothing that comes now or later is admitted.
     pub fn takes_no_more(&self, now: Duration) -> bool {
-        self.drain.is_some_and(|d| now >= d.admits_until)
+        self.drain.is_some_and(|d| now >= d.clock.admits_until(d.cohort))
     }
 
     /// Whether work may begin now.
@@ -82,10 +80,10 @@
             Some(takes) => work.over.min(now + takes),
             None => work.over,
         };
-        let closed = work.stage == WorkStage::Arrived && now >= drain.admits_until;
+        let closed = work.stage == WorkStage::Arrived && self.takes_no_more(now);
         match !closed && ends <= drain.clock.work_ends() {
             true => Verdict::Admit,
-            false => Verdict::Refuse { retry_after: drain.clock.retry_after(now) },
+            false => Verdict::Refuse { retry_after: drain.clock.retry_after(drain.cohort, now) },
         }
     }
 
--- a/crates/request-proxy/src/life/drain.rs
+++ b/crates/request-proxy/src/life/drain.rs
@@ -12,9 +12,28 @@
 
 /// The connection that a client opens next goes to another machine.
 const TRY_ANOTHER: Duration = Duration::from_millis(100);
-/// Machines that leave at the same time end one after the other: after this part of the grace things
-/// have changed.
-const RETRY_PART: u32 = 16;
+
+/// Where all machines leave at once, each goes on getting work until its end. So that they don't all refuse
+/// and start anew at the same moment, they leave in two cohorts: the first once the entry has noticed, so
+/// that it is back before the second has to stop, which goes on as long as the grace allows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cohort {
+    /// Stops early.
+    First,
+    /// Stops as late as it can.
+    Second,
+}
+
+impl Cohort {
+    /// The cohort of a machine: as good as drawn by lot. The lowest bit of the hash changes with the lowest
+    /// bit of any character, so that machines numbered in a row take turns.
+    pub fn of(node_name: &str) -> Self {
+        match fnv64(node_name.as_bytes()) % 2 {
+            0 => Cohort::First,
+            _ => Cohort::Second,
+        }
+    }
+}
 
 /// When a drain began, and how long the platform waits for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,23 +53,21 @@
         self.began + ENTRY_NOTICES.min(self.grace / NOTICE_PART)
     }
 
-    /// From here on nothing more is admitted, and the process ends with what is under way. Where all
-    /// machines leave at once, each goes on getting work until its end; so that they don't all refuse and
-    /// start anew at the same moment, each has a moment of its own: `share` (0 to 1) of the way between the
-    /// earliest and the last at which work of the longest expected kind still fits.
-    pub fn admits_until(&self, share: f64, longest: Duration) -> Duration {
-        let earliest = self.entry_notices() + (self.work_ends() - self.entry_notices()) / 8;
-        let last = self.work_ends().saturating_sub(longest).max(earliest);
-        earliest + (last - earliest).mul_f64(share.clamp(0.0, 1.0))
+    /// From here on nothing more is admitted, and the process ends with what is under way.
+    pub fn admits_until(&self, cohort: Cohort) -> Duration {
+        match cohort {
+            Cohort::First => self.entry_notices() + self.reserve(),
+            Cohort::Second => self.work_ends(),
+        }
     }
 
-    /// When a client that is refused now may come again. At first its next connection goes to another
-    /// machine; when the entry still sends here after it has noticed, the others are leaving too, and it
-    /// takes a while until one of them is back.
-    pub fn retry_after(&self, now: Duration) -> Duration {
-        match now < self.entry_notices() {
-            true => TRY_ANOTHER,
-            false => self.grace / RETRY_PART,
+    /// When a client that is refused now may come again: where machines leave one at a time its next
+    /// connection goes to another one, and where all leave at once, as likely to one of the other cohort
+    /// as to this one. The second is refusing when the first comes back, which takes a while.
+    pub fn retry_after(&self, cohort: Cohort, now: Duration) -> Duration {
+        match cohort == Cohort::Second && now >= self.entry_notices() {
+            true => self.reserve(),
+            false => TRY_ANOTHER,
         }
     }
 
--- a/crates/request-proxy/src/life/mod.rs
+++ b/crates/request-proxy/src/life/mod.rs
@@ -8,7 +8,7 @@
 mod work;
 
 pub use admission::{Admission, Verdict, Work, WorkStage};
-pub use drain::DrainClock;
+pub use drain::{Cohort, DrainClock};
 pub use machine::{Life, LifeEvent, LifeState};
 pub use work::{WorkHistory, WorkSize};
 
@@ -27,7 +27,7 @@
 ) {
     let clock = DrainClock::new(app.now(), grace);
     let name = app.settings.now().node_name.clone();
-    locked(&app.admission).begin_drain(clock, share_of(&name));
+    locked(&app.admission).begin_drain(clock, Cohort::of(&name));
     app.live_on(LifeEvent::Term);
     let calm = async {
         tokio::time::sleep_until(app.at(clock.entry_notices())).await;
@@ -48,9 +48,3 @@
     app.tell_outcomes();
     tokio::time::sleep(LAST_MESSAGES.min(grace / 64)).await;
 }
-
-/// A machine's place among those that leave at the same time: 0 to 1, as good as even over all names.
-fn share_of(node_name: &str) -> f64 {
-    let steps = 1 << 16;
-    (fnv64(node_name.as_bytes()) % steps) as f64 / steps as f64
-}
--- a/crates/request-proxy/src/life/work.rs
+++ b/crates/request-proxy/src/life/work.rs
@@ -76,15 +76,6 @@
         self.route(size.route).runs[size.class()].observe(took);
     }
 
-    /// The longest of late on any route, wait and run together; nothing where nothing was observed.
-    pub fn longest(&self) -> Duration {
-        let of_route = |r: &RouteHistory| {
-            let run = r.runs.iter().filter_map(RecentMaximum::longest).max();
-            r.waits.longest().unwrap_or_default() + run.unwrap_or_default()
-        };
-        self.routes.values().map(of_route).max().unwrap_or_default()
-    }
-
     /// The longest wait of late on this route; none while too few were observed.
     pub fn longest_wait(&self, size: WorkSize) -> Option<Duration> {
         self.routes.get(&size.route)?.waits.longest()
--- a/crates/request-proxy/src/prelude.rs
+++ b/crates/request-proxy/src/prelude.rs
@@ -2,8 +2,8 @@
 pub use crate::app::{App, Live, TrialDesk, TrialPlacement};
 pub use crate::door::{Head, HeadFault, OwnAnswer, ProxyBody};
 pub use crate::life::{
-    Admission, DrainClock, Life, LifeEvent, LifeState, Verdict, Work, WorkHistory, WorkSize,
-    WorkStage,
+    Admission, Cohort, DrainClock, Life, LifeEvent, LifeState, Verdict, Work, WorkHistory,
+    WorkSize, WorkStage,
 };
 pub use crate::relay::{EventFault, EventReader, RelayBody};
 pub use crate::sending::{Lease, Pool, SendOutcome};
