--- a/crates/request-proxy/src/life/drain.rs
+++ b/crates/request-proxy/src/life/drain.rs
@@ -10,6 +10,31 @@
 /// settled last goes out. SIGKILL comes when the grace is over.
 const RESERVE_PART: u32 = 16;
 
+/// The connection that a client opens next goes to another machine.
+const TRY_ANOTHER: Duration = Duration::from_millis(100);
+
+/// Where all machines leave at once, each goes on getting work until its end. So that they don't all refuse
+/// and start anew at the same moment, they leave in two cohorts: the first once the entry has noticed, so
+/// that it is back before the second has to stop, which goes on as long as the grace allows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cohort {
+    /// Stops early.
+    First,
+    /// Stops as late as it can.
+    Second,
+}
+
+impl Cohort {
+    /// The cohort of a machine: as good as drawn by lot. The lowest bit of the hash changes with the lowest
+    /// bit of any character, so that machines numbered in a row take turns.
+    pub fn of(node_name: &str) -> Self {
+        match fnv64(node_name.as_bytes()) % 2 {
+            0 => Cohort::First,
+            _ => Cohort::Second,
+        }
+    }
+}
+
 /// When a drain began, and how long the platform waits for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrainClock {
@@ -28,6 +53,24 @@
         self.began + ENTRY_NOTICES.min(self.grace / NOTICE_PART)
     }
 
+    /// From here on nothing more is admitted, and the process ends with what is under way.
+    pub fn admits_until(&self, cohort: Cohort) -> Duration {
+        match cohort {
+            Cohort::First => self.entry_notices() + self.reserve(),
+            Cohort::Second => self.work_ends(),
+        }
+    }
+
+    /// When a client that is refused now may come again: where machines leave one at a time its next
+    /// connection goes to another one, and where all leave at once, as likely to one of the other cohort
+    /// as to this one. The second is refusing when the first comes back, which takes a while.
+    pub fn retry_after(&self, cohort: Cohort, now: Duration) -> Duration {
+        match cohort == Cohort::Second && now >= self.entry_notices() {
+            true => self.reserve(),
+            false => TRY_ANOTHER,
+        }
+    }
+
     /// By then all admitted work has been answered.
     pub fn work_ends(&self) -> Duration {
         self.began + self.grace - self.reserve()
--- a/crates/request-proxy/src/life/mod.rs
+++ b/crates/request-proxy/src/life/mod.rs
@@ -8,7 +8,7 @@
 mod work;
 
 pub use admission::{Admission, Verdict, Work, WorkStage};
-pub use drain::DrainClock;
+pub use drain::{Cohort, DrainClock};
 pub use machine::{Life, LifeEvent, LifeState};
 pub use work::{WorkHistory, WorkSize};
 
@@ -26,7 +26,8 @@
     grace: Duration,
 ) {
     let clock = DrainClock::new(app.now(), grace);
-    locked(&app.admission).begin_drain(clock);
+    let name = app.settings.now().node_name.clone();
+    locked(&app.admission).begin_drain(clock, Cohort::of(&name));
     app.live_on(LifeEvent::Term);
     let calm = async {
         tokio::time::sleep_until(app.at(clock.entry_notices())).await;
