Stores: proofs count who meets every majority, so that groups of an even size can heal

Cause: with two placed stores a majority is both, and a proof that asks for a majority of the group before can't be had once one of them lost its disk; each write lies on both then, and one is enough. Change: at most majority - 1 stores of a group may be left out; the same as before for groups of 2T + 1.

--- a/crates/control-cell/src/duties/stores.rs
+++ b/crates/control-cell/src/duties/stores.rs
@@ -12,7 +12,7 @@
 /// What the leader has seen of a store: its newest status report, and how long ago.
 #[derive(Debug, Clone)]
 pub struct StoreObservation {
-    /// What it told of itself last.
+    /// Its newest status report.
     pub status: StoreStatus,
     /// How long ago that was.
     pub silent: Duration,
--- a/crates/inner-protocol/src/stores/placement.rs
+++ b/crates/inner-protocol/src/stores/placement.rs
@@ -71,9 +71,10 @@
         self.stores.iter().all(|s| s.caught_up)
     }
 
-    /// How many stores of any group of at most `size` may lack something without its majority lacking it.
+    /// How many stores of any group of at most `size` may be left out so that the others still meet each
+    /// of its majorities.
     pub fn spare(&self, size: usize) -> usize {
-        size.min(self.stores.len()) - self.majority(size).min(self.stores.len())
+        self.majority(size) - 1
     }
 
     /// Whether a store may keep programs under this placement that `earlier` gave to others: it wasn't
