--- a/crates/turn-store/tests/tables.rs
+++ b/crates/turn-store/tests/tables.rs
@@ -330,3 +330,34 @@
     }
     assert!(proved > 50 && refused > 50, "{proved} {refused}");
 }
+
+/// Two stores are lost at once, and their ranks are gone. Whoever catches up first has a span without gaps:
+/// the others still prove their history by it. So a store is given what it kept under any placement that is
+/// remembered.
+#[test]
+fn the_first_to_catch_up_after_two_losses_holds_up_nobody() {
+    let first = set_of(&[1, 2, 3, 4, 5, 6, 7, 8]).next(|s| s.tolerated = 2);
+    let less = first.next(|s| s.stores.retain(|e| e.id != 7));
+    let last = less.next(|s| s.stores.retain(|e| e.id != 8));
+    // Back as an empty disk with a rank of its own: some programs of the placement between move on.
+    let last =
+        last.next(|s| s.stores.push(StoreEntry { id: 9, rank: 99, ..first.stores[6].clone() }));
+    let span = Some(VersionSpan { from: 1, to: first.version });
+    let history = |id: u64| {
+        let mut h = History::new(id, span.filter(|_| id != 9));
+        h.learn(last.clone());
+        h
+    };
+    let mut stores: Vec<History> = [1, 2, 3, 4, 5, 6, 9].map(history).into();
+    for i in 0..stores.len() {
+        for j in 0..stores.len() {
+            let (id, span) = (stores[j].me, stores[j].caught_up);
+            stores[i].transferred(last.version, id, span);
+            stores[i].complete();
+        }
+        assert!(stores[i].is_caught_up(), "store {} after {i} others", stores[i].me);
+    }
+    let moved = |key: &u64| less.group(*key).contains(&1) && !last.group(*key).contains(&1);
+    let key = (0..5000).map(|n| StoreSet::key_of(&format!("p{n}"))).find(moved).unwrap();
+    assert!(stores[1].keeps(1, key), "it vouches for that placement as well");
+}
