--- a/crates/control-cell/src/actor/stores.rs
+++ b/crates/control-cell/src/actor/stores.rs
@@ -1,4 +1,4 @@
-//! The store duty: what stores tell of themselves, and orders to retire one.
+//! The store duty: what stores report of themselves, and orders to retire one.
 use crate::duties::may_retire;
 use crate::prelude::*;
 
--- a/crates/turn-store/src/actor/work.rs
+++ b/crates/turn-store/src/actor/work.rs
@@ -286,7 +286,7 @@
             StoreCommand::End => {
                 info!("told to stop");
                 self.ending = true;
-                self.tell(|s| s.ending = true);
+                self.report(|s| s.ending = true);
                 self.release();
             }
             StoreCommand::Missing(tx) => {
@@ -310,7 +310,7 @@
         }
     }
 
-    fn tell(&mut self, f: impl FnOnce(&mut StoreStatus)) {
+    fn report(&mut self, f: impl FnOnce(&mut StoreStatus)) {
         self.status.send_if_modified(|s| {
             let Some(s) = s else { return false };
             let old = s.clone();
@@ -342,7 +342,7 @@
         }
     }
 
-    /// What this store may vouch for is on disk before it is told to anybody.
+    /// What this store may vouch for is on disk before it is reported.
     fn identify(&mut self) {
         let h = &self.tables.history;
         let (version, caught_up) = (h.set.version, h.caught_up);
@@ -353,7 +353,7 @@
                 std::process::exit(3);
             }
         }
-        self.tell(|s| {
+        self.report(|s| {
             s.version = version;
             s.fresh = caught_up.is_none();
             s.caught_up = caught_up;
