Stores: those that stopped by plan don't delay the removal of one that is lost

Cause, by reading: while stores are restarted in turn one more is silent at any time, and a lost one would have been waited for as after a loss of power. Change: whose last report says that it is ending isn't counted among the silent. Test: stores_that_are_silent_together_are_waited_for has the case.

--- a/crates/control-cell/src/duties/stores.rs
+++ b/crates/control-cell/src/duties/stores.rs
@@ -199,12 +199,13 @@
     }
 
     /// How much silence of a store is waited out. Where more are silent than may be lost, what they hold
-    /// isn't all with others: rather they are waited for, as after a loss of power.
+    /// isn't all with others: rather they are waited for, as after a loss of power. Those that stopped by
+    /// plan, one after the other perhaps, don't count.
     fn patience(&self, id: u64) -> Duration {
-        let ended = self.observation(id).is_some_and(|s| s.status.ending);
+        let ended = |id| self.observation(id).is_some_and(|s| s.status.ending);
         let placed = self.set.stores.iter().filter(|e| e.state == StoreState::Placed);
-        let silent = placed.filter(|e| !self.is_at_work(e.id)).count();
-        match ended {
+        let silent = placed.filter(|e| !self.is_at_work(e.id) && !ended(e.id)).count();
+        match ended(id) {
             true => self.bounds.replace_after,
             false if silent <= self.set.tolerated as usize => self.bounds.remove_after,
             false => self.bounds.give_up_after,
--- a/crates/control-cell/tests/stores.rs
+++ b/crates/control-cell/tests/stores.rs
@@ -357,6 +357,11 @@
         x.silent = bounds().give_up_after;
     }
     assert!(due(&set, &s).is_none());
+    // One of them was told to stop: the other is alone.
+    s[1].status.ending = true;
+    s[1].silent = bounds().replace_after;
+    assert!(due(&set, &s).unwrap().find(1).is_none());
+    s[1].status.ending = false;
     let gone = set.next(|n| n.stores.retain(|e| e.id != 1));
     let gone = gone.next(|n| n.stores.retain(|e| e.id != 2));
     s[0].silent = Duration::ZERO;
