Core schedules: duties come as often as the clock allows

Cause: duties came every fourth beat (240 ms) only, though a change of the lead or a busy queue brings them sooner; so a newcomer was always a learner for that long. Change: each schedule draws one to four beats between two turns of duties.

--- a/crates/control-cell/tests/core_schedules.rs
+++ b/crates/control-cell/tests/core_schedules.rs
@@ -16,7 +16,8 @@
 /// How long a machine still counts as lost after it is back: the smallest value for which the waits leave
 /// their margin, and others.
 const CATCH_UPS: [u64; 4] = [3800, 4100, 4200, 6000];
-const STEPS_PER_DUTY: usize = 4;
+/// Between two turns of duties at the most: they also take place whenever the lead changes.
+const MOST_DUTY_STEPS: usize = 4;
 const STEPS_PER_SNAPSHOT: usize = 50;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -67,6 +68,7 @@
     /// How long a newcomer waits before it first asks to be taken in.
     first_join: Duration,
     bounds: MembershipBounds,
+    duty_steps: usize,
     planned: Vec<Planned>,
     leaving: BTreeMap<u64, Duration>,
     joiners: BTreeMap<u64, (JoinRequest, Duration)>,
@@ -91,6 +93,7 @@
             catch_up: Duration::from_millis(catch_up),
             first_join,
             bounds: bounds(catch_up),
+            duty_steps: MOST_DUTY_STEPS,
             known_since: BTreeMap::new(),
             planned: Vec::new(),
             leaving: BTreeMap::new(),
@@ -353,7 +356,7 @@
         self.world.deliver_all();
         self.ask_to_join();
         self.world.deliver_all();
-        if self.steps.is_multiple_of(STEPS_PER_DUTY) {
+        if self.steps.is_multiple_of(self.duty_steps) {
             self.announce_leaving();
             self.world.deliver_all();
             self.duties();
@@ -448,6 +451,7 @@
             arbtest::arbtest(|u| {
                 let start = *u.choose(&[0.0, 0.3, 0.8, 1.0])?;
                 let mut core = Core::new(machines, tolerated, *u.choose(&CATCH_UPS)?, start);
+                core.duty_steps = u.int_in_range(1..=MOST_DUTY_STEPS)?;
                 for _ in 0..u.int_in_range(5..=60)? {
                     core.run(u.int_in_range(1..=40)?);
                     match u.ratio(1, 4)? {
@@ -470,8 +474,12 @@
 fn a_second_loss_right_after_each_replacement() {
     for (machines, tolerated) in [(3, 1), (4, 1), (5, 1), (5, 2), (6, 2), (8, 2)] {
         for trouble in [Trouble::Wipe, Trouble::Replace] {
-            for (start, apart) in [(1.0, 0), (0.0, 0), (1.0, 1000), (0.0, 1000)] {
+            let slow = MOST_DUTY_STEPS;
+            for (start, apart, duty_steps) in
+                [(1.0, 0, 1), (1.0, 0, slow), (0.0, 0, slow), (1.0, 1000, 1), (0.0, 1000, slow)]
+            {
                 let mut core = Core::new(machines, tolerated, CATCH_UPS[1], start);
+                core.duty_steps = duty_steps;
                 for i in 0..12 {
                     let first = i % core.machines.len();
                     for also in 0..tolerated as usize {
