stand-ins: three bounds of time hold in virtual time

Cause: silence_is_waited_out, a_stream_that_falls_silent and a_shorter_idle_time compared the machine's clock with 250 ms of slack, resp. 3 s. Change: they run with tokio's clock paused, over the same sockets; the bounds are unchanged. tokio's test-util is a dev-dependency here.

--- a/crates/stand-ins/tests/clients.rs
+++ b/crates/stand-ins/tests/clients.rs
@@ -145,7 +145,7 @@
     assert!(serves(&mut fresh, "i3").await, "opened before, never used");
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_shorter_idle_time_holds_from_a_connection_s_next_request_on() {
     let e = engine("i-a").await;
     let p = proxy_of("idle-less", &[&e]).await;
@@ -160,7 +160,7 @@
         let _ = clock.read_to_end(&mut end).await;
     }
     assert!(serves(&mut client, "j2").await, "its client may still count on the longer time");
-    let began = Instant::now();
+    let began = tokio::time::Instant::now();
     let mut end = Vec::new();
     let _ = client.read_to_end(&mut end).await;
     assert!(end.is_empty() && began.elapsed() < Duration::from_secs(3));
--- a/crates/stand-ins/tests/repeats.rs
+++ b/crates/stand-ins/tests/repeats.rs
@@ -201,30 +201,32 @@
     }
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn silence_is_waited_out_where_nothing_may_be_repeated() {
     let (a, b) = (engine("i-a").await, engine("i-b").await);
     for e in [&a, &b] {
         e.script(vec![Step::Run, Step::Silent]);
     }
     let p = proxy_of("silent", &[&a, &b]).await;
-    let began = Instant::now();
+    let began = tokio::time::Instant::now();
     // The route's time-out is 0.4 s, well before the client's deadline.
     assert_eq!(p.call("w1", "/brief/a", b"x").await.status, 504);
+    // In virtual time, so that a busy machine changes nothing.
     let took = began.elapsed();
     assert!(took >= Duration::from_millis(380) && took < Duration::from_millis(650), "{took:?}");
     assert_eq!(runs(&[&a, &b], "w1"), 1);
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn a_stream_that_falls_silent_ends_with_its_route_s_time() {
     let e = engine("i-a").await;
     let head = "HTTP/1.1 200 OK\r\nX-Spokebank-Request-Id: {id}\r\nX-Spokebank-Server-Stamp: s\r\n\
                 Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n";
     e.script(vec![Step::Run, Step::Say(head.into()), Step::Silent]);
     let p = proxy_of("silent-stream", &[&e]).await;
-    let began = Instant::now();
+    let began = tokio::time::Instant::now();
     let got = p.call("s1", "/brief-s/a", b"x").await;
+    // In virtual time, so that a busy machine changes nothing.
     let took = began.elapsed();
     assert!(!got.whole && got.body.len() == 15);
     assert!(took >= Duration::from_millis(380) && took < Duration::from_millis(650), "{took:?}");
