turn-store: a missing turn is a struct with named fields

Cause: merge gave back bare (program, id) pairs. Change: MissingTurn in tables/transfer.rs; no change of behaviour. Measured: cargo test -p turn-store, 8 passed; the schedules in stand-ins follow with the whole test command.

--- a/crates/stand-ins/tests/store_schedules/world.rs
+++ b/crates/stand-ins/tests/store_schedules/world.rs
@@ -282,7 +282,7 @@
         let Some(StoreReply::Sync(page)) = self.stores[j].call(q) else { return };
         let mut log = Vec::new();
         for row in page.rows {
-            for (program, id) in self.stores[i].tables.merge(row, NOW, &mut log) {
+            for MissingTurn { program, id } in self.stores[i].tables.merge(row, NOW, &mut log) {
                 let q = StoreCall::Fetch { ids: vec![id] };
                 let Some(StoreReply::Turns(t)) = self.stores[j].call(q) else { return };
                 for record in t {
--- a/crates/turn-store/src/actor/copying.rs
+++ b/crates/turn-store/src/actor/copying.rs
@@ -52,13 +52,13 @@
         }
         let lacking = rx.await.ok()?;
         for part in lacking.chunks(BATCH) {
-            let q = StoreCall::Fetch { ids: part.iter().map(|(_, id)| id.clone()).collect() };
+            let q = StoreCall::Fetch { ids: part.iter().map(|t| t.id.clone()).collect() };
             let Ok(StoreReply::Turns(t)) = c.call::<_, StoreReply>(&q, WITHIN).await else {
                 return None;
             };
             let kept = t.into_iter().filter_map(|r| {
-                let (program, _) = part.iter().find(|(_, id)| *id == r.id)?;
-                Some((program.clone(), r))
+                let missing = part.iter().find(|t| t.id == r.id)?;
+                Some((missing.program.clone(), r))
             });
             let (tx, rx) = oneshot::channel();
             if !h.send(StoreCommand::Keep(kept.collect(), tx)).await {
--- a/crates/turn-store/src/actor/work.rs
+++ b/crates/turn-store/src/actor/work.rs
@@ -9,8 +9,8 @@
     Call(Box<StoreCall>, oneshot::Sender<StoreReply>),
     /// A store set, perhaps a newer one.
     Learn(StoreSet),
-    /// Rows of another store; gives back which turns, as (program, id), are not here.
-    Merge(Vec<SyncRow>, oneshot::Sender<Vec<(String, String)>>),
+    /// Rows of another store; gives back which of their turns are not here.
+    Merge(Vec<SyncRow>, oneshot::Sender<Vec<MissingTurn>>),
     /// Turns of another store, each with the program it is kept for.
     Keep(Vec<(String, TurnRecord)>, oneshot::Sender<()>),
     /// A store has transferred everything under the set of this version.
@@ -30,7 +30,7 @@
 
 /// Answers that wait for what was merged to be synced.
 enum Merged {
-    Rows(oneshot::Sender<Vec<(String, String)>>, Vec<(String, String)>),
+    Rows(oneshot::Sender<Vec<MissingTurn>>, Vec<MissingTurn>),
     Turns(oneshot::Sender<()>),
 }
 
--- a/crates/turn-store/src/prelude.rs
+++ b/crates/turn-store/src/prelude.rs
@@ -1,7 +1,7 @@
 //! The one module every file of this package imports.
 pub use crate::actor::{StoreCommand, StoreHandle};
 pub use crate::history::{History, Learnt};
-pub use crate::tables::{Logged, StoreTables};
+pub use crate::tables::{Logged, MissingTurn, StoreTables};
 pub use feed_follow::prelude::{follow_cells, FeedItem, FeedUpdate, FollowSettings};
 pub use inner_protocol::prelude::*;
 pub use inner_protocol::stores::*;
--- a/crates/turn-store/src/tables/mod.rs
+++ b/crates/turn-store/src/tables/mod.rs
@@ -7,6 +7,7 @@
 use crate::prelude::*;
 use retention::LEDGER_KEPT;
 use rows::{Program, TurnRow};
+pub use transfer::MissingTurn;
 
 /// What goes to the log.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/crates/turn-store/src/tables/transfer.rs
+++ b/crates/turn-store/src/tables/transfer.rs
@@ -5,6 +5,15 @@
 /// Programs in one answer to a store that asks for what others hold.
 const SYNC_PAGE: usize = 300;
 
+/// A turn that another store holds for a program, and that is not here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MissingTurn {
+    /// The program that it is held for.
+    pub program: String,
+    /// Its id.
+    pub id: String,
+}
+
 impl StoreTables {
     /// A store has transferred all it holds; true when this one is caught up by that.
     pub fn transferred(&mut self, version: u64, from: u64, caught_up: Option<VersionSpan>) -> bool {
@@ -37,20 +46,19 @@
         StoreReply::Sync(SyncReply { caught_up: self.history.caught_up, rows, more })
     }
 
-    /// Takes another store's ledger of a program; tells which of its turns, as (program, id),
-    /// are not here.
+    /// Takes another store's ledger of a program; gives back which of its turns are not here.
     pub fn merge(
         &mut self,
         row: SyncRow,
         now: Duration,
         log: &mut Vec<Logged>,
-    ) -> Vec<(String, String)> {
+    ) -> Vec<MissingTurn> {
         self.keep_turns_here(&row, now, log);
         for record in row.ledger {
             self.write(&row.program, &LedgerWrite::Merge(record), now, log);
         }
         let lacking = row.turns.into_iter().filter(|t| !self.turns.contains_key(t));
-        lacking.map(|t| (row.program.clone(), t)).collect()
+        lacking.map(|id| MissingTurn { program: row.program.clone(), id }).collect()
     }
 
     /// Turns held for another program already are kept for the row's as well.
