Tests of simulated disks: one way to lose power while a disk is opened

Cause: three files recovered in similar loops. Change: SimulatedDisk::open_until_cut holds what is the same: lose power, open, lose it again after some steps, and nothing else may fail. What each test does with a disk that opened in spite of it differs, and stays as it was: no check is changed.

--- a/crates/agreement/tests/disk.rs
+++ b/crates/agreement/tests/disk.rs
@@ -188,18 +188,7 @@
 /// Opens after a loss of power, which comes again while the disk is opened; what is found is one of
 /// the possible states.
 fn recover(disk: &SimulatedDisk, possible: &[State], cuts: &[u64]) -> Player {
-    let mut opened = None;
-    for steps in cuts {
-        disk.restart();
-        disk.set_trouble(Trouble { steps_left: Some(*steps), ..Trouble::default() });
-        match open(disk) {
-            Ok(found) => {
-                opened = Some(found);
-                break;
-            }
-            Err(e) => assert!(disk.is_dark(), "{e}"),
-        }
-    }
+    let opened = cuts.iter().find_map(|steps| disk.open_until_cut(*steps, || open(disk)));
     disk.restart();
     drop(opened);
     let (disk, hard, log) = open(disk).unwrap();
--- a/crates/node-base/tests/disk.rs
+++ b/crates/node-base/tests/disk.rs
@@ -115,16 +115,10 @@
 
 /// Opens after a loss of power, which comes again while the log is opened.
 fn recover(disk: &SimulatedDisk, cuts: &[u64]) -> (SegmentLog, Vec<ReadRecord>) {
-    for steps in cuts {
-        disk.restart();
-        disk.set_trouble(Trouble { steps_left: Some(*steps), ..Trouble::default() });
-        match open(disk) {
-            Ok(opened) => {
-                disk.set_trouble(Trouble::default());
-                return opened;
-            }
-            Err(e) => assert!(disk.is_dark(), "{e}"),
-        }
+    let opened = cuts.iter().find_map(|steps| disk.open_until_cut(*steps, || open(disk)));
+    if let Some(opened) = opened {
+        disk.set_trouble(Trouble::default());
+        return opened;
     }
     disk.restart();
     open(disk).unwrap()
--- a/crates/simulated-disk/src/lib.rs
+++ b/crates/simulated-disk/src/lib.rs
@@ -7,6 +7,7 @@
 use contents::{Change, Contents};
 use names::{NameChange, Names};
 use node_base::disk::{DiskFile, DiskOps};
+use std::fmt::Display;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -167,6 +168,24 @@
         state.trouble = Trouble::default();
     }
 
+    /// Loses power and gives it back, and opens what lies on the disk; power is lost again after `steps`
+    /// of that. None when this came before the end.
+    pub fn open_until_cut<T, E: Display>(
+        &self,
+        steps: u64,
+        open: impl FnOnce() -> Result<T, E>,
+    ) -> Option<T> {
+        self.restart();
+        self.set_trouble(Trouble { steps_left: Some(steps), ..Trouble::default() });
+        match open() {
+            Ok(opened) => Some(opened),
+            Err(e) => {
+                assert!(self.is_dark(), "{e}");
+                None
+            }
+        }
+    }
+
     /// The process was killed and starts again; power stayed on, so that all it wrote is still seen,
     /// synced or not. No trouble is left.
     pub fn restart_process(&self) {
--- a/crates/turn-store/tests/disk.rs
+++ b/crates/turn-store/tests/disk.rs
@@ -124,11 +124,7 @@
 
 fn recover(disk: &SimulatedDisk, known: &Known, cuts: &[u64]) -> (Store, Known) {
     for steps in cuts {
-        disk.restart();
-        disk.set_trouble(Trouble { steps_left: Some(*steps), ..Trouble::default() });
-        if let Err(e) = Store::open(disk) {
-            assert!(disk.is_dark(), "{e}");
-        }
+        drop(disk.open_until_cut(*steps, || Store::open(disk)));
     }
     disk.restart();
     let (store, vouched, turns) = Store::open(disk).unwrap();
