control-cell: generated returns also to a leader that never heard from the member

Cause: in the plays before, the leader that had known the member led on. Change: half of the generated absences lose their leader after the last change, so that the new one starts without knowing anything of the member.

--- a/crates/control-cell/tests/catch_up.rs
+++ b/crates/control-cell/tests/catch_up.rs
@@ -20,6 +20,7 @@
         returns_after: Duration::ZERO,
         bytes_per_s: BYTES_PER_S,
         latency: Duration::from_millis(2),
+        leader_lost: false,
         snapshot_every: 256,
         seed: 1,
     }
@@ -65,6 +66,7 @@
         returns_after: Duration::from_millis(draw.u64(0..=8_000)),
         bytes_per_s: draw.u64(1_000_000..=20_000_000) as f64,
         latency: Duration::from_millis(draw.u64(0..=20)),
+        leader_lost: draw.bool(),
         snapshot_every: draw.u64(8..=256),
         seed,
     }
--- a/crates/control-cell/tests/slow_link/mod.rs
+++ b/crates/control-cell/tests/slow_link/mod.rs
@@ -29,6 +29,8 @@
     pub bytes_per_s: f64,
     /// Of every link, one way.
     pub latency: Duration,
+    /// Another leads by the time of the return, who has never heard from the member.
+    pub leader_lost: bool,
     /// Entries between two snapshots.
     pub snapshot_every: u64,
     pub seed: u64,
@@ -143,6 +145,9 @@
             world.change(absence.small)?;
         }
         world.change(absence.large)?;
+        if absence.leader_lost {
+            world.lose_leader()?;
+        }
         world.run_for(absence.returns_after);
         let returned = world.now;
         world.behind = Some(away);
@@ -208,6 +213,15 @@
         self.cells.remove(&id).map(|cell| (cell.hard, cell.disk))
     }
 
+    /// The leader stops; it starts again once nobody leads, and somebody is elected.
+    fn lose_leader(&mut self) -> Option<()> {
+        let lost = self.leader()?;
+        let (hard, disk) = self.stop(lost)?;
+        self.run_for(Tuning::default().election_high);
+        self.start(lost, hard, disk);
+        self.run_until(|w| w.leader().is_some_and(|l| w.is_ready(l)))
+    }
+
     fn leader(&self) -> Option<u64> {
         let leaders = self.cells.iter().filter(|(_, c)| c.node.leads());
         leaders.max_by_key(|(_, c)| c.node.hard.term).map(|(id, _)| *id)
