--- a/crates/turn-store/src/actor/copying.rs
+++ b/crates/turn-store/src/actor/copying.rs
@@ -131,14 +131,17 @@
             };
             let Some(lacking) = h.merge(page.rows).await else { return TransferEnd::Stopped };
             for part in lacking.chunks(batch) {
-                let q = StoreCall::Fetch { ids: part.iter().map(|(_, id)| id.clone()).collect() };
+                let q = StoreCall::Fetch {
+                    ids: part.iter().map(|missing| missing.id.clone()).collect(),
+                };
                 let Ok(StoreReply::Turns(turns)) = caller.call::<_, StoreReply>(&q, within).await
                 else {
                     return TransferEnd::Failed;
                 };
-                let kept = turns.into_iter().filter_map(|r| {
-                    let (program, _) = part.iter().find(|(_, id)| *id == r.id)?;
-                    Some((program.clone(), r))
+                // One turn may be missing for several programs.
+                let kept = part.iter().filter_map(|missing| {
+                    let turn = turns.iter().find(|turn| turn.id == missing.id)?;
+                    Some((missing.program.clone(), turn.clone()))
                 });
                 if h.keep(kept.collect()).await.is_none() {
                     return TransferEnd::Stopped;
