--- /dev/null
+++ b/crates/stand-ins/tests/store_schedules/copies.rs
@@ -0,0 +1,111 @@
+//! What was acknowledged, and on which disks a synced copy of it is.
+use crate::prelude::*;
+
+/// Something that was acknowledged, by its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Acknowledged {
+    Turn(u64),
+    Claim(u64),
+    Settlement(u64),
+}
+
+#[derive(Default)]
+pub struct Copies {
+    disks: BTreeMap<Acknowledged, Vec<u64>>,
+    acknowledged: Vec<Acknowledged>,
+}
+
+pub fn turn_id(req: u64) -> String {
+    format!("t{req}")
+}
+
+fn request_of(turn: &str) -> u64 {
+    turn[1..].parse().unwrap()
+}
+
+impl Copies {
+    /// A disk has synced a record.
+    pub fn synced(&mut self, disk: u64, l: &Logged) {
+        match l {
+            Logged::Turn(r) | Logged::Foreign { record: r, .. } => {
+                self.add(disk, Acknowledged::Turn(request_of(&r.id)));
+            }
+            Logged::Attempt { record, .. } => {
+                self.add(disk, Acknowledged::Claim(record.req));
+                if record.settlement.is_some() {
+                    self.add(disk, Acknowledged::Settlement(record.req));
+                }
+            }
+        }
+    }
+
+    fn add(&mut self, disk: u64, what: Acknowledged) {
+        let disks = self.disks.entry(what).or_default();
+        if !disks.contains(&disk) {
+            disks.push(disk);
+        }
+    }
+
+    /// The disks that have a copy, whatever became of them.
+    pub fn of(&self, what: Acknowledged) -> &[u64] {
+        self.disks.get(&what).map_or(&[], |d| d)
+    }
+}
+
+impl World {
+    /// At no moment may the copies that are left, less the losses that may still come, be under one.
+    pub fn check_margin(&self) {
+        self.check_copies(&self.copies.acknowledged);
+    }
+
+    /// The same, of what has just been acknowledged.
+    pub fn acknowledge(&mut self, what: &[Acknowledged]) {
+        self.copies.acknowledged.extend(what);
+        self.check_copies(what);
+    }
+
+    fn check_copies(&self, acknowledged: &[Acknowledged]) {
+        let now = self.clock.now;
+        let sound: HashSet<u64> = self
+            .stores
+            .iter()
+            .enumerate()
+            .filter(|(i, s)| {
+                !s.gone && !self.losses.counts(*i, now) && self.set.find(s.id).is_some()
+            })
+            .map(|(_, s)| s.id)
+            .collect();
+        let spare = self.losses.spare(now);
+        for what in acknowledged {
+            let disks = self.copies.of(*what);
+            let left = disks.iter().filter(|d| sound.contains(d)).count();
+            assert!(
+                left > spare,
+                "{what:?}: {left} copies are left of {disks:?}, and {spare} may still be lost\n{}",
+                self.trace()
+            );
+        }
+    }
+
+    /// What a machine held that may be taken away lies with a majority of the group that keeps it now, less
+    /// those whose disks were lost just then.
+    pub fn check_groups(&self) {
+        for (program, turn) in self.turns.iter().map(|t| (t.program, t.req)) {
+            let group = self.set.group(StoreSet::key_of(&program_name(program)));
+            let disks = self.copies.of(Acknowledged::Turn(turn));
+            let holders = group.iter().filter(|g| disks.contains(g)).count();
+            let wiped = group.iter().filter(|g| self.stores.iter().all(|s| s.id != **g)).count();
+            let trace = || self.trace();
+            assert!(
+                holders + wiped >= self.set.quorum(),
+                "turn {turn}: {holders} copies, {wiped} wiped\n{}",
+                trace()
+            );
+            assert!(holders > 0, "turn {turn}: no copy is left\n{}", trace());
+        }
+    }
+}
+
+pub fn program_name(program: u64) -> String {
+    format!("p{program}")
+}
--- /dev/null
+++ b/crates/stand-ins/tests/store_schedules/schedule.rs
@@ -0,0 +1,95 @@
+//! A generated schedule: troubles and planned steps at any time, as many losses at once as are tolerated,
+//! the next one at times at the very moment at which one more may come.
+use crate::prelude::*;
+
+/// The longest time away.
+const AWAY: u64 = 16_000;
+/// From the end of a machine to the start of its successor.
+const SUCCESSOR: std::ops::RangeInclusive<u64> = 200..=2000;
+/// More machines than the first ones by so many at the most.
+const ADDED: usize = 5;
+
+impl World {
+    /// Any machine that is there.
+    fn drawn_store(&self, u: Luck) -> Drawn<usize> {
+        let there: Vec<usize> = (0..self.stores.len()).filter(|i| !self.stores[*i].gone).collect();
+        Ok(*u.choose(&there)?)
+    }
+
+    pub fn happens_next(&mut self, u: Luck, most: usize) -> Drawn<()> {
+        let store = self.drawn_store(u)?;
+        match u.int_in_range(0..=19u8)? {
+            0..=3 => drop(self.loses_disk(store)),
+            4..=6 => self.drawn_absence(u, store)?,
+            7..=8 => drop(self.is_gone(store, ms(u.int_in_range(SUCCESSOR)?), u.ratio(1, 4)?)),
+            9 => self.rolls(store),
+            10..=11 => self.planned(u, store, most)?,
+            12 => self.retires(store),
+            13 => self.loses_leader(),
+            14 if u.ratio(1, 4)? => self.power_loss(),
+            14..=15 => self.burst(u, most)?,
+            _ => self.many_are_lost(u)?,
+        }
+        Ok(())
+    }
+
+    /// It is down, cut off or frozen for a time; its disk may be lost as well.
+    fn drawn_absence(&mut self, u: Luck, store: usize) -> Drawn<()> {
+        let reach = *u.choose(&[Reach::Down, Reach::NoCells, Reach::Nobody])?;
+        let longest = *u.choose(&[900, 6_000, AWAY])?;
+        let wait = ms(u.int_in_range(100..=longest)?);
+        let wiped = reach == Reach::Down && u.ratio(1, 3)?;
+        self.is_lost(store, reach, wait, wiped);
+        Ok(())
+    }
+
+    fn planned(&mut self, u: Luck, store: usize, most: usize) -> Drawn<()> {
+        if self.stores.iter().filter(|s| !s.gone).count() < most + ADDED {
+            match u.ratio(1, 3)? {
+                true => self.adds(),
+                false => self.replaces(store, u.arbitrary()?, ms(u.int_in_range(0..=2000)?)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Several changes one right after the other.
+    fn burst(&mut self, u: Luck, most: usize) -> Drawn<()> {
+        for _ in 0..u.int_in_range(2..=5)? {
+            let store = self.drawn_store(u)?;
+            match u.int_in_range(0..=5u8)? {
+                0..=1 => self.planned(u, store, most)?,
+                2 => self.retires(store),
+                3 => self.rolls(store),
+                _ => drop(self.loses_disk(store)),
+            }
+            self.run_for(ms(u.int_in_range(1..=300)?));
+        }
+        Ok(())
+    }
+
+    /// As many disks as may be are lost at once.
+    pub fn many_are_lost(&mut self, u: Luck) -> Drawn<()> {
+        for _ in 0..self.losses.spare(self.clock.now) {
+            let store = self.drawn_store(u)?;
+            self.loses_disk(store);
+        }
+        Ok(())
+    }
+
+    /// From the smallest steps to the longest that matter, and to the moment at which one more machine may
+    /// be lost.
+    pub fn pause(&mut self, u: Luck) -> Drawn<()> {
+        let catch_up = self.losses.catch_up.as_millis() as u64;
+        let now = self.clock.now;
+        let until = match u.int_in_range(0..=9u8)? {
+            0 => now + ms(u.int_in_range(1..=20)?),
+            1..=2 => now + ms(u.int_in_range(20..=500)?),
+            3..=4 => now + ms(u.int_in_range(500..=catch_up / 2)?),
+            5 => now + ms(u.int_in_range(catch_up / 2..=catch_up)?),
+            _ => self.losses.next_end(now).unwrap_or(now + ms(u.int_in_range(1..=catch_up)?)),
+        };
+        self.run_until(until);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/tests/store_schedules/store.rs
@@ -0,0 +1,122 @@
+//! One store: its machine, its disk, and the process with its tables.
+use crate::prelude::*;
+
+/// Who reaches a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    All,
+    /// Proxies and stores, but no cell.
+    NoCells,
+    /// Nobody: it is frozen, or cut off from all.
+    Nobody,
+    /// Its process has ended.
+    Down,
+}
+
+/// Invariants: `log` and `caught_up` are on the disk `id`; the events of an earlier `life` are void.
+pub struct Store {
+    pub name: String,
+    pub addr: String,
+    pub zone: String,
+    pub id: u64,
+    pub log: Vec<Logged>,
+    pub caught_up: Option<VersionSpan>,
+    pub tables: StoreTables,
+    pub reach: Reach,
+    /// Its machine never comes back.
+    pub gone: bool,
+    /// It was told to stop.
+    pub ending: bool,
+    /// It was told to stop so as to start again.
+    pub rolled: bool,
+    /// A machine that is to take its place by plan has started.
+    pub replaced: bool,
+    /// It follows a cell.
+    pub linked: bool,
+    /// Grows with each start of its process.
+    pub life: u64,
+    /// Grows with each trouble: the end of an earlier one is void.
+    pub trouble: u64,
+    /// Exchanges under way; none while it has nothing to ask for or pauses.
+    pub exchanges: usize,
+    /// A newer set came while exchanges were under way: the next round follows without a pause.
+    pub asks_at_once: bool,
+    /// Grows with each round of exchanges.
+    pub round: u64,
+}
+
+impl Store {
+    pub fn new(name: String, zone: String, id: u64, caught_up: Option<VersionSpan>) -> Self {
+        Store {
+            addr: format!("a{id}"),
+            name,
+            zone,
+            id,
+            log: Vec::new(),
+            caught_up,
+            tables: StoreTables::new(History::new(id, caught_up), Limits::default()),
+            reach: Reach::All,
+            gone: false,
+            ending: false,
+            rolled: false,
+            replaced: false,
+            linked: false,
+            life: 0,
+            trouble: 0,
+            exchanges: 0,
+            asks_at_once: false,
+            round: 0,
+        }
+    }
+
+    /// Its process starts with what is on the disk.
+    pub fn starts(&mut self, now: Time) {
+        self.tables = StoreTables::new(History::new(self.id, self.caught_up), Limits::default());
+        self.log.iter().for_each(|l| self.tables.take(l.clone(), now));
+        (self.reach, self.ending, self.linked) = (Reach::All, false, false);
+        self.life += 1;
+        (self.exchanges, self.round) = (0, self.round + 1);
+    }
+
+    /// Its disk is gone: it comes back with another identity.
+    pub fn loses_its_disk(&mut self, id: u64) {
+        (self.id, self.caught_up) = (id, None);
+        self.log.clear();
+    }
+
+    /// Proxies and stores reach it.
+    pub fn answers(&self) -> bool {
+        matches!(self.reach, Reach::All | Reach::NoCells)
+    }
+
+    /// It follows a cell.
+    pub fn follows(&self) -> bool {
+        self.reach == Reach::All && self.linked
+    }
+
+    pub fn is_caught_up(&self) -> bool {
+        self.tables.history.is_caught_up()
+    }
+
+    /// What it says of itself.
+    pub fn status(&self) -> StoreStatus {
+        StoreStatus {
+            id: self.id,
+            name: self.name.clone(),
+            addr: self.addr.clone(),
+            zone: self.zone.clone(),
+            fresh: self.caught_up.is_none(),
+            version: self.tables.history.set.version,
+            caught_up: self.caught_up,
+            ending: self.ending,
+        }
+    }
+
+    /// One that is to stop may once the set is without it, or can't be without it.
+    pub fn is_released(&self) -> bool {
+        let set = &self.tables.history.set;
+        let spared = set.placed() > set.group_size();
+        let entry = set.find(self.id);
+        !entry.is_some_and(|e| spared || e.state == StoreState::Leaving)
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/tests/store_schedules/troubles.rs
@@ -0,0 +1,124 @@
+//! What befalls the stores, never more at once than is tolerated.
+use crate::prelude::*;
+
+/// From the loss of a disk, or the end of a process, to the next start.
+const RESTART: (Duration, Duration) = (ms(100), ms(600));
+/// Until a store follows a cell: after its start, and after a cut.
+const FIRST_LINK: Duration = ms(300);
+const LINK_AGAIN: Duration = ms(1300);
+
+impl World {
+    /// A machine is lost in one way for a time, and may come back without its disk.
+    pub fn is_lost(&mut self, store: usize, reach: Reach, wait: Duration, wiped: bool) -> bool {
+        let now = self.clock.now;
+        if self.stores[store].gone || !self.losses.allows(store, now) {
+            return false;
+        }
+        self.losses.begins(store, now);
+        let (name, id) = (&self.stores[store].name, self.stores[store].id);
+        self.note(format!("{name} ({id}) is lost: {reach:?} for {wait:?}, wiped {wiped}"));
+        if wiped {
+            // Nothing on the disk counts any more.
+            self.next_id += 1;
+            let id = self.next_id;
+            self.stores[store].loses_its_disk(id);
+        }
+        let s = &mut self.stores[store];
+        // A process whose disk is lost has ended, however else its machine is away.
+        s.reach = if wiped || s.reach == Reach::Down { Reach::Down } else { reach };
+        s.linked = false;
+        s.trouble += 1;
+        if s.reach == Reach::Down {
+            s.life += 1;
+        }
+        let trouble = s.trouble;
+        self.clock.after(wait, Event::Returns { store, trouble });
+        self.check_margin();
+        true
+    }
+
+    pub fn loses_disk(&mut self, store: usize) -> bool {
+        let wait = self.delay(RESTART.0, RESTART.1);
+        self.is_lost(store, Reach::Down, wait, true)
+    }
+
+    pub fn returns(&mut self, store: usize, trouble: u64) {
+        let now = self.clock.now;
+        if self.stores[store].trouble != trouble || self.stores[store].gone {
+            return;
+        }
+        let until = self.losses.returns(store, now);
+        self.clock.at(until, Event::LossOver);
+        self.note(format!("{} returns", self.stores[store].name));
+        let s = &mut self.stores[store];
+        if s.reach == Reach::Down {
+            s.starts(now);
+            return self.links_up(store, ms(20), FIRST_LINK);
+        }
+        s.reach = Reach::All;
+        self.asks_anew(store);
+        self.links_up(store, ms(20), LINK_AGAIN);
+    }
+
+    /// A machine never comes back; its successor starts in its zone after a while.
+    pub fn is_gone(&mut self, store: usize, wait: Duration, same_name: bool) -> bool {
+        let now = self.clock.now;
+        if self.stores[store].gone || !self.losses.allows(store, now) {
+            return false;
+        }
+        self.losses.begins(store, now);
+        self.note(format!("{} is gone for good", self.stores[store].name));
+        self.ends_for_good(store);
+        self.awaited += 1;
+        self.clock.after(wait, Event::Successor { of: store, same_name });
+        self.check_margin();
+        true
+    }
+
+    pub fn ends_for_good(&mut self, store: usize) {
+        let s = &mut self.stores[store];
+        (s.gone, s.reach, s.linked) = (true, Reach::Down, false);
+        (s.life, s.trouble) = (s.life + 1, s.trouble + 1);
+    }
+
+    pub fn succeeds(&mut self, of: usize, same_name: bool) {
+        self.awaited -= 1;
+        let zone = self.stores[of].zone.clone();
+        let name = same_name.then(|| self.stores[of].name.clone());
+        let successor = self.machine_starts(zone, name);
+        let until = self.losses.succeeded(of, successor, self.clock.now);
+        self.clock.at(until, Event::LossOver);
+    }
+
+    /// A new machine starts.
+    pub fn machine_starts(&mut self, zone: String, name: Option<String>) -> usize {
+        self.next_id += 1;
+        let id = self.next_id;
+        let name = name.unwrap_or_else(|| format!("s{id}"));
+        self.note(format!("{name} starts in {zone} as {id}"));
+        let mut s = Store::new(name, zone, id, None);
+        s.starts(self.clock.now);
+        self.stores.push(s);
+        let store = self.stores.len() - 1;
+        self.links_up(store, ms(20), FIRST_LINK);
+        store
+    }
+
+    /// All lose power at once, the cells as well, and are back with their disks.
+    pub fn power_loss(&mut self) {
+        self.note("all lose power".into());
+        for store in 0..self.stores.len() {
+            if self.stores[store].reach != Reach::Down {
+                let (now, reach) = (self.clock.now, self.stores[store].reach);
+                if self.stores[store].ending && self.stores[store].rolled {
+                    // The roll is over with that.
+                    self.losses.returns(store, now);
+                }
+                self.stores[store].starts(now);
+                self.stores[store].reach = reach;
+                self.links_up(store, ms(300), LINK_AGAIN);
+            }
+        }
+        self.loses_leader();
+    }
+}
