--- a/crates/stand-ins/tests/store_schedules/healing.rs
+++ b/crates/stand-ins/tests/store_schedules/healing.rs
@@ -25,6 +25,26 @@
         self.check_all_turns();
     }
 
+    /// A machine counts as lost no longer. With none left, opens are answered at once.
+    pub fn loss_over(&mut self) {
+        self.check_margin();
+        if self.losses.counting(self.clock.now) == 0 {
+            let (program, until) = (self.any(PROGRAMS as usize) as u64, self.clock.now + OPEN);
+            self.must_answer(program, until);
+        }
+    }
+
+    pub fn must_answer(&mut self, program: u64, until: Time) {
+        if self.losses.counting(self.clock.now) > 0 {
+            return;
+        }
+        if let Err(f) = self.opened(program, None) {
+            let late = self.clock.now >= until;
+            assert!(!late, "p{program} isn't answered: {f:?}\n{}", self.trace());
+            self.clock.after(STEP, Event::MustAnswer { program, until });
+        }
+    }
+
     /// Every program is answered within the time that an open has.
     fn answers_all(&mut self) {
         let end = self.clock.now + OPEN;
--- a/crates/stand-ins/tests/store_schedules/leader.rs
+++ b/crates/stand-ins/tests/store_schedules/leader.rs
@@ -13,8 +13,12 @@
 const LATE: Duration = ms(400);
 /// Until a store follows another cell, when the one that it followed says nothing any more.
 const LINK_AGAIN: Duration = ms(1300);
-/// Without a leader.
-const ELECTION: (Duration, Duration) = (ms(200), ms(1500));
+/// Without a leader: after one is lost, and after one has handed over.
+pub const ELECTION: (Duration, Duration) = (ms(200), ms(1500));
+const HAND_OVER: (Duration, Duration) = (ms(5), ms(200));
+
+/// The leader's machine, in the ledger of losses.
+const CELL: usize = usize::MAX;
 
 struct Report {
     status: StoreStatus,
@@ -130,14 +134,18 @@
     /// A set that is agreed on soon, unless another one is before.
     pub fn proposes(&mut self, set: StoreSet, order: Option<String>) {
         let (wait, set) = (self.delay(ms(2), AGREEMENT), Rc::new(set));
-        self.clock.after(wait, Event::Agreed { set, order });
+        let term = self.leader.term;
+        self.clock.after(wait, Event::Agreed { set, order, term });
     }
 
-    pub fn agreed(&mut self, set: Rc<StoreSet>, order: Option<String>) {
-        if order.is_none() {
+    pub fn agreed(&mut self, set: Rc<StoreSet>, order: Option<String>, term: u64) {
+        let of_this_leader = term == self.leader.term;
+        if of_this_leader && order.is_none() {
             self.leader.proposed = false;
         }
-        if set.version != self.set.version + 1 {
+        // Nobody may ever learn what a leader proposed that has ended.
+        let known = of_this_leader || self.chance(2);
+        if set.version != self.set.version + 1 || !known {
             return;
         }
         self.orders.extend(order.clone());
@@ -178,12 +186,29 @@
         }
     }
 
-    /// The leader ends, or its core does for a moment; the next begins with no reports. What was proposed
-    /// is agreed on or not. Some stores followed a cell that ended.
+    /// The leader's machine is lost, and is back as a follower within a second.
     pub fn loses_leader(&mut self) {
-        self.note("the leader ends".into());
+        let now = self.clock.now;
+        if self.losses.allows(CELL, now) {
+            self.losses.begins(CELL, now);
+            let wait = self.delay(ms(100), ms(1000));
+            let until = self.losses.returns(CELL, now + wait);
+            self.clock.at(until, Event::LossOver);
+            self.changes_leader(ELECTION);
+        }
+    }
+
+    /// The leader hands over in order.
+    pub fn hands_over(&mut self) {
+        self.changes_leader(HAND_OVER);
+    }
+
+    /// The next leader begins with no reports. What was proposed is agreed on or not. Some stores followed
+    /// a cell that ended.
+    pub fn changes_leader(&mut self, between: (Duration, Duration)) {
+        self.note("the leader changes".into());
         self.leader = Leader { term: self.leader.term + 1, ..Leader::default() };
-        let (wait, term) = (self.delay(ELECTION.0, ELECTION.1), self.leader.term);
+        let (wait, term) = (self.delay(between.0, between.1), self.leader.term);
         self.clock.after(wait, Event::Elected { term });
         for store in 0..self.stores.len() {
             if self.chance(3) {
--- a/crates/stand-ins/tests/store_schedules/main.rs
+++ b/crates/stand-ins/tests/store_schedules/main.rs
@@ -38,7 +38,7 @@
                     w.happens_next(u, *n as usize)?;
                     w.pause(u)?;
                 }
-                w.many_are_lost(u)?;
+                w.closing_fault(u)?;
                 w.heals();
                 Ok(())
             })
--- a/crates/stand-ins/tests/store_schedules/schedule.rs
+++ b/crates/stand-ins/tests/store_schedules/schedule.rs
@@ -21,11 +21,11 @@
         match u.int_in_range(0..=19u8)? {
             0..=3 => drop(self.loses_disk(store)),
             4..=6 => self.drawn_absence(u, store)?,
-            7..=8 => drop(self.is_gone(store, ms(u.int_in_range(SUCCESSOR)?), u.ratio(1, 4)?)),
+            7..=8 => self.drawn_end(u, store)?,
             9 => self.rolls(store),
             10..=11 => self.planned(u, store, most)?,
             12 => self.retires(store),
-            13 => self.loses_leader(),
+            13 => self.drawn_change(u)?,
             14 if u.ratio(1, 4)? => self.power_loss(),
             14..=15 => self.burst(u, most)?,
             _ => self.many_are_lost(u)?,
@@ -33,6 +33,24 @@
         Ok(())
     }
 
+    /// It is gone for good; the leader may change while it is being replaced.
+    fn drawn_end(&mut self, u: Luck, store: usize) -> Drawn<()> {
+        self.is_gone(store, ms(u.int_in_range(SUCCESSOR)?), u.ratio(1, 4)?);
+        if u.ratio(1, 4)? {
+            self.run_for(ms(u.int_in_range(1..=2000)?));
+            self.drawn_change(u)?;
+        }
+        Ok(())
+    }
+
+    fn drawn_change(&mut self, u: Luck) -> Drawn<()> {
+        match u.arbitrary()? {
+            true => self.loses_leader(),
+            false => self.hands_over(),
+        }
+        Ok(())
+    }
+
     /// It is down, cut off or frozen for a time; its disk may be lost as well.
     fn drawn_absence(&mut self, u: Luck, store: usize) -> Drawn<()> {
         let reach = *u.choose(&[Reach::Down, Reach::NoCells, Reach::Nobody])?;
@@ -77,6 +95,15 @@
         Ok(())
     }
 
+    /// As many disks as may be are lost at the end; all others may lose power just then.
+    pub fn closing_fault(&mut self, u: Luck) -> Drawn<()> {
+        self.many_are_lost(u)?;
+        if u.arbitrary()? {
+            self.power_loss();
+        }
+        Ok(())
+    }
+
     /// From the smallest steps to the longest that matter, and to the moment at which one more machine may
     /// be lost.
     pub fn pause(&mut self, u: Luck) -> Drawn<()> {
--- a/crates/stand-ins/tests/store_schedules/troubles.rs
+++ b/crates/stand-ins/tests/store_schedules/troubles.rs
@@ -1,4 +1,5 @@
 //! What befalls the stores, never more at once than is tolerated.
+use crate::leader::ELECTION;
 use crate::prelude::*;
 
 /// From the loss of a disk, or the end of a process, to the next start.
@@ -119,6 +120,6 @@
                 self.links_up(store, ms(300), LINK_AGAIN);
             }
         }
-        self.loses_leader();
+        self.changes_leader(ELECTION);
     }
 }
--- a/crates/stand-ins/tests/store_schedules/world.rs
+++ b/crates/stand-ins/tests/store_schedules/world.rs
@@ -66,6 +66,7 @@
     Agreed {
         set: Rc<StoreSet>,
         order: Option<String>,
+        term: u64,
     },
     /// Another cell leads.
     Elected {
@@ -96,6 +97,11 @@
         program: String,
         write: LedgerWrite,
     },
+    /// No machine counts as lost: a program must be answered until then, while that stays so.
+    MustAnswer {
+        program: u64,
+        until: Time,
+    },
 }
 
 /// Programs of a schedule.
@@ -205,7 +211,8 @@
             Event::Exchange(exchange) => self.exchanges(*exchange),
             Event::Returns { store, trouble } => self.returns(store, trouble),
             Event::Successor { of, same_name } => self.succeeds(of, same_name),
-            Event::LossOver => self.check_margin(),
+            Event::LossOver => self.loss_over(),
+            Event::MustAnswer { program, until } => self.must_answer(program, until),
             Event::Terminated { store, life, rolled } if alive(self, store, life) => {
                 self.terminated(store, rolled);
             }
@@ -213,7 +220,7 @@
                 self.stops(store, rolled);
             }
             Event::Look { term } => self.looks(term),
-            Event::Agreed { set, order } => self.agreed(set, order),
+            Event::Agreed { set, order, term } => self.agreed(set, order, term),
             Event::Elected { term } => self.elected(term),
             Event::ProxyLearns { proxy, set } => self.proxies[proxy].learns(&set),
             Event::TurnDue { proxy } => self.turn_due(proxy),
