--- a/crates/stand-ins/tests/store_schedules/store.rs
+++ b/crates/stand-ins/tests/store_schedules/store.rs
@@ -37,12 +37,12 @@
     pub life: u64,
     /// Grows with each trouble: the end of an earlier one is void.
     pub trouble: u64,
-    /// Exchanges under way; none while it has nothing to ask for or pauses.
-    pub exchanges: usize,
-    /// A newer set came while exchanges were under way: the next round follows without a pause.
-    pub asks_at_once: bool,
-    /// Grows with each round of exchanges.
+    /// Grows with each round of exchanges, and when one is over.
     pub round: u64,
+    /// Exchanges under way in this round.
+    pub exchanges: usize,
+    /// Rounds that proved too little, one after the other.
+    pub fruitless: u32,
 }
 
 impl Store {
@@ -64,7 +64,7 @@
             life: 0,
             trouble: 0,
             exchanges: 0,
-            asks_at_once: false,
+            fruitless: 0,
             round: 0,
         }
     }
@@ -75,7 +75,7 @@
         self.log.iter().for_each(|l| self.tables.take(l.clone(), now));
         (self.reach, self.ending, self.linked) = (Reach::All, false, false);
         self.life += 1;
-        (self.exchanges, self.round) = (0, self.round + 1);
+        (self.round, self.exchanges, self.fruitless) = (self.round + 1, 0, 0);
     }
 
     /// Its disk is gone: it comes back with another identity.
--- a/crates/stand-ins/tests/store_schedules/transfer.rs
+++ b/crates/stand-ins/tests/store_schedules/transfer.rs
@@ -1,18 +1,16 @@
 //! Exchanges between stores (`turn-store`, `actor/copying.rs`): a store asks all that have not transferred
-//! yet side by side; once each has or has failed, it pauses and asks the rest again.
+//! yet side by side, each again until it has; a newer set begins anew, and once it is caught up it stops.
 use crate::prelude::*;
+use turn_store::actor::TransferBounds;
 
-/// How long one that says nothing is waited for.
-const GIVEN_UP: Duration = ms(1000);
-const AGAIN: Duration = ms(120);
 /// What a page, or the turns that it names, take at the most.
 const PAGE: Duration = ms(150);
 
 /// One store asks another for all that it holds.
 pub struct Exchange {
     store: usize,
-    /// Of the asking process.
-    life: u64,
+    /// Of the asking store: exchanges of earlier ones are void.
+    round: u64,
     /// The version of the set that it is made under.
     version: u64,
     /// The disk that is asked.
@@ -29,18 +27,21 @@
         lacking: Vec<(String, String)>,
         span: Option<VersionSpan>,
     },
-    /// It is over, or has failed.
+    /// It is over.
     Ends,
+    /// It has failed, and begins again.
+    Fails,
 }
 
 impl World {
-    /// A newer set: whatever pauses asks at once.
+    fn transfer_bounds(&self) -> TransferBounds {
+        TransferBounds::from_catch_up(self.losses.catch_up)
+    }
+
+    /// A newer set: all are asked anew, at once.
     pub fn asks_anew(&mut self, store: usize) {
-        let s = &mut self.stores[store];
-        s.asks_at_once = s.exchanges > 0;
-        if s.exchanges == 0 {
-            self.next_round(store, Duration::ZERO);
-        }
+        self.stores[store].fruitless = 0;
+        self.next_round(store, Duration::ZERO);
     }
 
     fn next_round(&mut self, store: usize, wait: Duration) {
@@ -52,54 +53,55 @@
 
     pub fn round_begins(&mut self, store: usize, round: u64) {
         let s = &mut self.stores[store];
-        if s.round != round || s.exchanges > 0 || !s.answers() {
+        if s.round != round || !s.answers() {
             return;
         }
         let missing = s.tables.history.missing();
-        let (life, version) = (s.life, s.tables.history.set.version);
+        let version = s.tables.history.set.version;
         s.exchanges = missing.len();
         for e in missing {
-            let wait = match self.reaches(store, e.id) {
-                true => self.delay(ms(1), ms(20)),
-                false => GIVEN_UP,
-            };
-            let exchange = Exchange { store, life, version, from: e.id, step: Step::Asks };
-            self.clock.after(wait, Event::Exchange(Box::new(exchange)));
+            self.asks(Exchange { store, round, version, from: e.id, step: Step::Asks });
         }
     }
 
+    fn asks(&mut self, exchange: Exchange) {
+        let wait = match self.reaches(exchange.store, exchange.from) {
+            true => self.delay(ms(1), ms(20)),
+            false => self.transfer_bounds().call,
+        };
+        self.clock.after(wait, Event::Exchange(Box::new(exchange)));
+    }
+
     fn reaches(&self, store: usize, id: u64) -> bool {
         let other = self.machine_of(id).is_some_and(|i| self.stores[i].answers());
         other && self.stores[store].answers()
     }
 
     pub fn exchanges(&mut self, exchange: Exchange) {
-        let Exchange { store, life, version, from, step } = exchange;
-        if self.stores[store].life != life {
+        let Exchange { store, round, version, from, step } = exchange;
+        if self.stores[store].round != round {
             return;
         }
-        if !self.reaches(store, from) {
-            return self.exchange_ends(store);
-        }
         let next = match step {
+            _ if !self.reaches(store, from) => Step::Fails,
             Step::Asks => self.asked(store, version, from),
             Step::Merges(page) => self.merged(store, page),
-            Step::Fetches { lacking, span } => {
-                if self.fetched(store, from, lacking).is_some() {
-                    self.transferred(store, version, from, span);
-                }
-                Step::Ends
+            Step::Fetches { lacking, span } => match self.fetched(store, from, lacking) {
+                Some(()) => self.transferred(store, version, from, span),
+                None => Step::Fails,
+            },
+            Step::Fails => {
+                return self.asks(Exchange { store, round, version, from, step: Step::Asks });
             }
             Step::Ends => Step::Ends,
         };
-        match next {
-            Step::Ends => self.exchange_ends(store),
-            step => {
-                let wait = self.delay(ms(1), PAGE);
-                let exchange = Exchange { store, life, version, from, step };
-                self.clock.after(wait, Event::Exchange(Box::new(exchange)));
-            }
-        }
+        let wait = match next {
+            Step::Ends => return self.exchange_ends(store),
+            Step::Fails => self.transfer_bounds().pause,
+            _ => self.delay(ms(1), PAGE),
+        };
+        let exchange = Exchange { store, round, version, from, step: next };
+        self.clock.after(wait, Event::Exchange(Box::new(exchange)));
     }
 
     fn asked(&mut self, store: usize, version: u64, from: u64) -> Step {
@@ -110,7 +112,7 @@
                 self.learns(store, &set);
                 Step::Ends
             }
-            _ => Step::Ends,
+            _ => Step::Fails,
         }
     }
 
@@ -142,7 +144,13 @@
         Some(())
     }
 
-    fn transferred(&mut self, store: usize, version: u64, from: u64, span: Option<VersionSpan>) {
+    fn transferred(
+        &mut self,
+        store: usize,
+        version: u64,
+        from: u64,
+        span: Option<VersionSpan>,
+    ) -> Step {
         let s = &mut self.stores[store];
         s.tables.transferred(version, from, span);
         let caught_up = s.tables.history.caught_up;
@@ -150,15 +158,20 @@
             s.caught_up = caught_up;
             self.reports(store);
         }
+        Step::Ends
     }
 
+    /// Once all have ended, and too little is proved, there is another round.
     fn exchange_ends(&mut self, store: usize) {
+        let bounds = self.transfer_bounds();
         let s = &mut self.stores[store];
         s.exchanges = s.exchanges.saturating_sub(1);
-        let wait = if std::mem::take(&mut s.asks_at_once) { Duration::ZERO } else { AGAIN };
-        match s.exchanges {
-            0 => self.next_round(store, wait),
-            _ => self.stores[store].asks_at_once = wait.is_zero(),
+        if s.tables.history.missing().is_empty() {
+            s.round += 1;
+        } else if s.exchanges == 0 {
+            let wait = (bounds.pause * 2u32.pow(s.fruitless)).min(bounds.longest_pause);
+            s.fruitless = (s.fruitless + 1).min(10);
+            self.next_round(store, wait);
         }
     }
 }
