--- a/crates/stand-ins/tests/store_schedules/healing.rs
+++ b/crates/stand-ins/tests/store_schedules/healing.rs
@@ -14,7 +14,7 @@
     /// there is nothing left to do, and nothing is missing.
     pub fn heals(&mut self) {
         let end = self.clock.now + RETURN_WITHIN;
-        while self.losses.counting(self.clock.now) > 0 {
+        while !self.losses.is_calm(self.clock.now) {
             assert!(self.clock.now < end, "somebody doesn't return\n{}", self.trace());
             let next = self.losses.next_end(self.clock.now);
             self.run_until(next.unwrap_or(self.clock.now + STEP));
@@ -28,14 +28,14 @@
     /// A machine counts as lost no longer. With none left, opens are answered at once.
     pub fn loss_over(&mut self) {
         self.check_margin();
-        if self.losses.counting(self.clock.now) == 0 {
+        if self.losses.is_calm(self.clock.now) {
             let (program, until) = (self.any(PROGRAMS as usize) as u64, self.clock.now + OPEN);
             self.must_answer(program, until);
         }
     }
 
     pub fn must_answer(&mut self, program: u64, until: Time) {
-        if self.losses.counting(self.clock.now) > 0 {
+        if !self.losses.is_calm(self.clock.now) {
             return;
         }
         if let Err(f) = self.opened(program, None) {
--- a/crates/stand-ins/tests/store_schedules/leader.rs
+++ b/crates/stand-ins/tests/store_schedules/leader.rs
@@ -11,8 +11,10 @@
 /// One in so many reports is late by up to this.
 const LATE_ONE_IN: u64 = 12;
 const LATE: Duration = ms(400);
-/// Until a store follows another cell, when the one that it followed says nothing any more.
+/// Until a store follows another cell, when the one that it followed says nothing any more, and when that
+/// has closed the link.
 const LINK_AGAIN: Duration = ms(1300);
+const LINK_ENDED: Duration = ms(300);
 /// Without a leader: after one is lost, and after one has handed over.
 pub const ELECTION: (Duration, Duration) = (ms(200), ms(1500));
 const HAND_OVER: (Duration, Duration) = (ms(5), ms(200));
@@ -92,8 +94,10 @@
         }
         let late = if self.chance(LATE_ONE_IN) { LATE } else { MESSAGE };
         let wait = self.delay(ms(1), late);
-        let (status, term) = (self.stores[store].status(), self.leader.term);
-        self.clock.after(wait, Event::Reported { status, term });
+        let (term, s) = (self.leader.term, &mut self.stores[store]);
+        // Reports of one store come in their order.
+        s.reported = s.reported.max(self.clock.now + wait);
+        self.clock.at(s.reported, Event::Reported { status: s.status(), term });
     }
 
     fn sends_set(&mut self, store: usize, set: Rc<StoreSet>) {
@@ -194,25 +198,25 @@
             let wait = self.delay(ms(100), ms(1000));
             let until = self.losses.returns(CELL, now + wait);
             self.clock.at(until, Event::LossOver);
-            self.changes_leader(ELECTION);
+            self.changes_leader(ELECTION, LINK_AGAIN);
         }
     }
 
     /// The leader hands over in order.
     pub fn hands_over(&mut self) {
-        self.changes_leader(HAND_OVER);
+        self.changes_leader(HAND_OVER, LINK_ENDED);
     }
 
     /// The next leader begins with no reports. What was proposed is agreed on or not. Some stores followed
     /// a cell that ended.
-    pub fn changes_leader(&mut self, between: (Duration, Duration)) {
+    pub fn changes_leader(&mut self, between: (Duration, Duration), link: Duration) {
         self.note("the leader changes".into());
         self.leader = Leader { term: self.leader.term + 1, ..Leader::default() };
         let (wait, term) = (self.delay(between.0, between.1), self.leader.term);
         self.clock.after(wait, Event::Elected { term });
         for store in 0..self.stores.len() {
             if self.chance(3) {
-                self.links_up(store, ms(50), LINK_AGAIN);
+                self.links_up(store, ms(50), link);
             }
         }
     }
--- a/crates/stand-ins/tests/store_schedules/losses.rs
+++ b/crates/stand-ins/tests/store_schedules/losses.rs
@@ -8,11 +8,13 @@
     pub catch_up: Duration,
     /// Until when each machine counts, by its number; none as long as it is away.
     until: BTreeMap<usize, Option<Time>>,
+    /// Until then all count, since all lost power at once; their disks stay.
+    outage: Time,
 }
 
 impl LossLedger {
     pub fn new(tolerated: u32, catch_up: Duration) -> Self {
-        LossLedger { tolerated: tolerated as usize, catch_up, until: BTreeMap::new() }
+        LossLedger { tolerated: tolerated as usize, catch_up, until: BTreeMap::new(), outage: Time::ZERO }
     }
 
     pub fn counts(&self, machine: usize, now: Time) -> bool {
@@ -25,7 +27,21 @@
 
     /// How many more machines may be lost just now.
     pub fn spare(&self, now: Time) -> usize {
-        self.tolerated - self.counting(now)
+        if now < self.outage { 0 } else { self.tolerated - self.counting(now) }
+    }
+
+    /// All machines lose power, and are back at once.
+    pub fn all_lose_power(&mut self, now: Time) -> Time {
+        self.outage = now + self.catch_up;
+        for until in self.until.values_mut().flatten().filter(|u| **u > now) {
+            *until = self.outage;
+        }
+        self.outage
+    }
+
+    /// Whether nothing counts, not even for an outage.
+    pub fn is_calm(&self, now: Time) -> bool {
+        now >= self.outage && self.counting(now) == 0
     }
 
     /// Whether this machine may be lost now; what counts already may be lost once more.
@@ -60,6 +76,7 @@
 
     /// When the next machine that is back stops counting.
     pub fn next_end(&self, now: Time) -> Option<Time> {
-        self.until.values().flatten().copied().filter(|u| *u > now).min()
+        let ends = self.until.values().flatten().chain([&self.outage]);
+        ends.copied().filter(|u| *u > now).min()
     }
 }
--- a/crates/stand-ins/tests/store_schedules/store.rs
+++ b/crates/stand-ins/tests/store_schedules/store.rs
@@ -33,6 +33,8 @@
     pub replaced: bool,
     /// It follows a cell.
     pub linked: bool,
+    /// When its last report comes to the leader.
+    pub reported: Time,
     /// Grows with each start of its process.
     pub life: u64,
     /// Grows with each trouble: the end of an earlier one is void.
@@ -61,6 +63,7 @@
             rolled: false,
             replaced: false,
             linked: false,
+            reported: Time::ZERO,
             life: 0,
             trouble: 0,
             exchanges: 0,
--- a/crates/stand-ins/tests/store_schedules/troubles.rs
+++ b/crates/stand-ins/tests/store_schedules/troubles.rs
@@ -108,6 +108,8 @@
     /// All lose power at once, the cells as well, and are back with their disks.
     pub fn power_loss(&mut self) {
         self.note("all lose power".into());
+        let until = self.losses.all_lose_power(self.clock.now);
+        self.clock.at(until, Event::LossOver);
         for store in 0..self.stores.len() {
             if self.stores[store].reach != Reach::Down {
                 let (now, reach) = (self.clock.now, self.stores[store].reach);
@@ -120,6 +122,6 @@
                 self.links_up(store, ms(300), LINK_AGAIN);
             }
         }
-        self.changes_leader(ELECTION);
+        self.changes_leader(ELECTION, LINK_AGAIN);
     }
 }
