--- a/crates/inner-protocol/src/stores/placement.rs
+++ b/crates/inner-protocol/src/stores/placement.rs
@@ -81,11 +81,12 @@
     /// placed, or another's rank or zone is gone. One more rank, or a successor, gives it none; and where
     /// every group of `earlier` was all its stores, the store had all programs.
     pub fn may_add_programs(&self, earlier: &Placement, id: u64, size: usize) -> bool {
-        let others = |p: &Placement| -> BTreeSet<(u64, String)> {
-            p.stores.iter().filter(|s| s.id != id).map(|s| (s.rank, s.zone.clone())).collect()
+        let mut others = earlier.stores.iter().filter(|s| s.id != id);
+        let is_left = |o: &PlacedStore| {
+            self.stores.iter().any(|s| s.id != id && s.rank == o.rank && s.zone == o.zone)
         };
         let had_all = earlier.stores.len() <= size;
-        !(earlier.has(id) && (had_all || others(earlier).is_subset(&others(self))))
+        !(earlier.has(id) && (had_all || others.all(is_left)))
     }
 
     /// The same stores, with the same ranks.
