Stores: a machine that drains beside a successor of its name and loses its disk stays out

When the old machine ended nobody took its place: one copy fewer than T + 1 after catchUpS. Change: a newcomer at the address of a store that drains beside a placed one of its name isn't taken in; the lost disk leaves the set. Run: the new test failed before (find(10) placed) and passes; control-cell stores 19 passed. Left: once the drained disk has left the set its address is forgotten; the same play some hundred ms later isn't held.

--- a/crates/control-cell/src/duties/stores.rs
+++ b/crates/control-cell/src/duties/stores.rs
@@ -120,6 +120,9 @@
         if set.retirement(&status.name).is_some() {
             return self.without_the_lost_disk(status);
         }
+        if let Some(drained) = self.drained_disk(status) {
+            return Some(self.without_drained(drained, status.id));
+        }
         if let Some(old) = self.predecessor(status) {
             let drains = old.addr != status.addr && self.is_at_work(old.id);
             return Some(self.succeeded(old, status, drains));
@@ -179,6 +182,22 @@
         })
     }
 
+    /// The disk that this one follows on its machine, where the machine drains beside a successor of its
+    /// name: the disk was lost, and the place isn't taken back.
+    fn drained_disk(&self, status: &StoreStatus) -> Option<u64> {
+        let stores = || self.set.stores.iter();
+        let drains = |e: &&StoreEntry| e.state == StoreState::Leaving && e.addr == status.addr;
+        let successor = |e: &StoreEntry| e.state == StoreState::Placed && e.name == status.name;
+        stores().any(successor).then(|| stores().find(drains).map(|e| e.id)).flatten()
+    }
+
+    fn without_drained(&self, lost: u64, newcomer: u64) -> StoreSet {
+        self.step(|n| {
+            n.stores.retain(|e| e.id != lost);
+            n.superseded.insert(newcomer);
+        })
+    }
+
     /// A machine that is being retired lost its disk: the order holds, and the machine isn't taken in.
     fn without_the_lost_disk(&self, status: &StoreStatus) -> Option<StoreSet> {
         let old = self.set.stores.iter().find(|e| e.name == status.name)?;
--- a/crates/control-cell/tests/stores.rs
+++ b/crates/control-cell/tests/stores.rs
@@ -256,6 +256,24 @@
     assert!(due(&done, &s).is_none(), "the old one still reports, and stays out");
 }
 
+/// While a machine drains beside a successor of its name its disk is lost: what comes up there has its name
+/// and is as new as the successor.
+#[test]
+fn a_machine_that_drains_and_loses_its_disk_does_not_take_the_place_back() {
+    let (set, mut s) = founded();
+    let mut newer = seen(&[(9, "b", true)]).remove(0);
+    (newer.status.addr, newer.status.caught_up) = ("elsewhere:1".into(), None);
+    s.push(newer);
+    let next = due(&set, &s).unwrap();
+    s[1] = seen(&[(10, "b", true)]).remove(0);
+    s[1].status.caught_up = None;
+    let next = due(&next, &s).unwrap();
+    assert!(next.find(2).is_none() && next.find(10).is_none());
+    assert_eq!(next.find(9).map(|e| e.state), Some(StoreState::Placed));
+    caught_up(&mut s, &next);
+    assert!(due(&next, &s).is_none(), "the machine still reports, and stays out");
+}
+
 /// The last report of a lost disk may be younger than the first of the disk that takes its place.
 #[test]
 fn a_late_report_of_a_lost_disk_does_not_take_the_place_back() {
