--- a/crates/stand-ins/tests/store_schedules/planned.rs
+++ b/crates/stand-ins/tests/store_schedules/planned.rs
@@ -34,7 +34,7 @@
         }
     }
 
-    /// Another machine is up, in its zone and at times of its name, and it is told to stop.
+    /// Another machine is up, in its zone and at times of its name, and it is asked to stop.
     pub fn replaces(&mut self, store: usize, same_name: bool, wait: Duration) {
         let s = &self.stores[store];
         if s.gone || s.ending || s.replaced || s.reach != Reach::All {
@@ -48,7 +48,7 @@
         self.clock.after(wait, Event::Terminated { store, life, rolled: false });
     }
 
-    /// A store is told to stop, and starts again with its disk.
+    /// A store is asked to stop, and starts again with its disk.
     pub fn rolls(&mut self, store: usize) {
         let (now, s) = (self.clock.now, &self.stores[store]);
         let at_work = !s.gone && !s.ending && s.reach == Reach::All;
@@ -66,7 +66,7 @@
         }
         (s.ending, s.rolled) = (true, rolled);
         let life = s.life;
-        self.note(format!("{} is told to stop, rolled {rolled}", self.stores[store].name));
+        self.note(format!("{} is asked to stop, rolled {rolled}", self.stores[store].name));
         self.clock.after(GRACE, Event::Stops { store, life, rolled });
         self.reports(store);
         self.stops_if_released(store);
@@ -80,7 +80,7 @@
         }
     }
 
-    /// One that was told to stop does. One on which the set still depends is a loss, as if its successor
+    /// One that was asked to stop does. One on which the set still depends is a loss, as if its successor
     /// started just then: the operator waits until it can be borne.
     pub fn stops(&mut self, store: usize, rolled: bool) {
         let (now, s) = (self.clock.now, &self.stores[store]);
--- a/crates/stand-ins/tests/store_schedules/store.rs
+++ b/crates/stand-ins/tests/store_schedules/store.rs
@@ -25,9 +25,9 @@
     pub reach: Reach,
     /// Its machine never comes back.
     pub gone: bool,
-    /// It was told to stop.
+    /// It was asked to stop.
     pub ending: bool,
-    /// It was told to stop so as to start again.
+    /// It was asked to stop so as to start again.
     pub rolled: bool,
     /// A machine that is to take its place by plan has started.
     pub replaced: bool,
--- a/crates/stand-ins/tests/store_schedules/world.rs
+++ b/crates/stand-ins/tests/store_schedules/world.rs
@@ -46,7 +46,7 @@
     },
     /// A machine that was back for long enough counts as lost no longer.
     LossOver,
-    /// A store is told to stop.
+    /// A store is asked to stop.
     Terminated {
         store: usize,
         life: u64,
