Cells: the status in a reply is boxed

Cause: with voters_agreed the reply's largest variant passed the size that the lints allow. Change: boxed; nothing else.

--- a/crates/control-cell/src/actor/calls.rs
+++ b/crates/control-cell/src/actor/calls.rs
@@ -47,7 +47,7 @@
                     false => CellReply::Unable,
                 });
             }
-            CellCall::Tell => waiting.answer(CellReply::Status(self.status())),
+            CellCall::Tell => waiting.answer(CellReply::Status(Box::new(self.status()))),
             CellCall::Outcomes { reports } => {
                 self.trial.keep(self.desk.state(), reports);
                 waiting.answer(CellReply::Done);
--- a/crates/control-cell/tests/leaving.rs
+++ b/crates/control-cell/tests/leaving.rs
@@ -6,7 +6,7 @@
 
 async fn status(cell: &CellHandle) -> CellStatus {
     match cell.answer(CellCall::Tell).await {
-        Some(CellReply::Status(status)) => status,
+        Some(CellReply::Status(status)) => *status,
         other => panic!("{other:?}"),
     }
 }
--- a/crates/doctor/src/facts/mod.rs
+++ b/crates/doctor/src/facts/mod.rs
@@ -67,7 +67,7 @@
     while let Some(addr) = todo.pop_front() {
         let before = unix_ms();
         let status = match Caller::new(addr.clone()).call(&CellCall::Tell, WITHIN).await {
-            Ok(CellReply::Status(t)) => Some(t),
+            Ok(CellReply::Status(t)) => Some(*t),
             _ => None,
         };
         let mid = (before + unix_ms()) / 2;
--- a/crates/inner-protocol/src/cells/calls.rs
+++ b/crates/inner-protocol/src/cells/calls.rs
@@ -90,7 +90,7 @@
     /// This cell can't do it now (no leader, cut off, or being left).
     Unable,
     /// The answer to `Tell`.
-    Status(CellStatus),
+    Status(Box<CellStatus>),
     /// The routing trial; none when there never was one.
     Trial(Option<Box<TrialReport>>),
 }
--- a/crates/spokebank/tests/settings_reload.rs
+++ b/crates/spokebank/tests/settings_reload.rs
@@ -231,7 +231,7 @@
 async fn status(net: &Net, host: u8) -> Option<CellStatus> {
     let cell = Caller::new(net.inner(host, CELL_PORT));
     match cell.call(&CellCall::Tell, Duration::from_secs(1)).await {
-        Ok(CellReply::Status(t)) => Some(t),
+        Ok(CellReply::Status(t)) => Some(*t),
         _ => None,
     }
 }
