Stores, door: one way to take a logged record; a kept turn's chain is compared once

Read again at the end: the owner of the tables pushed and took records beside take_logged, which does that; link_chain looked each turn of a chain up in the program's list, which is quadratic in the chain; two comments were out of date or badly broken. No behaviour changes.

--- a/crates/request-proxy/src/door/serve.rs
+++ b/crates/request-proxy/src/door/serve.rs
@@ -36,9 +36,9 @@
 }
 
 /// Takes connections until the life ends. While it is closing, whatever the entry still sends is
-/// answered, one answer a connection; it ends once there has been no connection for a moment, or once nothing is under way and nothing
-/// more is admitted. Then
-/// nothing listens any more, and what is left has its end.
+/// answered, one answer a connection; it ends once there has been no connection for a moment, or once
+/// nothing is under way and nothing more is admitted. Then nothing listens any more, and what is left
+/// has its end.
 pub async fn serve_front(
     listener: TcpListener,
     app: Arc<App>,
--- a/crates/turn-store/src/actor/work.rs
+++ b/crates/turn-store/src/actor/work.rs
@@ -74,7 +74,7 @@
         rx.await.ok()
     }
 
-    /// Takes rows of another store; gives back which turns, as (program, id), are not here.
+    /// Takes rows of another store; gives back which of their turns are not here.
     pub(super) async fn merge(&self, rows: Vec<SyncRow>) -> Option<Vec<MissingTurn>> {
         let (tx, rx) = oneshot::channel();
         self.send(StoreCommand::Merge(rows, tx)).await;
@@ -267,9 +267,7 @@
             }
             StoreCommand::Keep(records, tx) => {
                 for (program, record) in records {
-                    let l = Logged::turn_of(program, record);
-                    log.push(l.clone());
-                    self.tables.take(l, now);
+                    self.tables.take_logged(Logged::turn_of(program, record), now, log);
                 }
                 merged.push(Merged::Turns(tx));
             }
--- a/crates/turn-store/src/tables/calls.rs
+++ b/crates/turn-store/src/tables/calls.rs
@@ -109,14 +109,20 @@
     /// them as long as the turn.
     fn link_chain(&mut self, record: &TurnRecord, now: Duration, log: &mut Vec<Logged>) {
         let until = now + Self::keep_for(record);
+        let program = self.programs.get(&record.program);
+        let held: HashSet<&str> =
+            program.into_iter().flat_map(|p| &p.turns).map(|turn| turn.id.as_str()).collect();
+        let mut unlinked = Vec::new();
         for id in &record.chain {
             let Some(row) = self.turns.get_mut(id) else { continue };
             row.until = row.until.max(until);
-            if !self.programs.get(&record.program).is_some_and(|p| p.holds(id)) {
-                let earlier = row.record.clone();
-                self.take_logged(Logged::turn_of(record.program.clone(), earlier), now, log);
+            if !held.contains(id.as_str()) {
+                unlinked.push(Logged::turn_of(record.program.clone(), row.record.clone()));
             }
         }
+        for earlier in unlinked {
+            self.take_logged(earlier, now, log);
+        }
     }
 
     /// A node spoke; gives back a later life of it, if one is known.
--- a/crates/turn-store/src/tables/mod.rs
+++ b/crates/turn-store/src/tables/mod.rs
@@ -102,7 +102,7 @@
     }
 
     /// Takes a record and adds it to what must be logged.
-    fn take_logged(&mut self, record: Logged, now: Duration, log: &mut Vec<Logged>) {
+    pub fn take_logged(&mut self, record: Logged, now: Duration, log: &mut Vec<Logged>) {
         log.push(record.clone());
         self.take(record, now);
     }
