--- a/crates/agreement/src/core/node.rs
+++ b/crates/agreement/src/core/node.rs
@@ -86,6 +86,11 @@
         self.applied >= lead.first && in_contact && lead.successor_named.is_none()
     }
 
+    /// The newest membership in the log is agreed on, as far as this node knows.
+    pub fn membership_agreed(&self) -> bool {
+        self.log.membership_index() <= self.commit
+    }
+
     /// Whether this cell is in the membership, as a voter or a learner.
     pub fn is_member(&self) -> bool {
         self.log.membership().get(self.me).is_some()
--- a/crates/agreement/src/core/proposals.rs
+++ b/crates/agreement/src/core/proposals.rs
@@ -33,7 +33,7 @@
     fn change_towards(&self, target: Membership) -> Option<Membership> {
         let lead = self.lead.as_ref()?;
         let current = self.log.membership();
-        let settled = !current.is_joint() && self.log.membership_index() <= self.commit;
+        let settled = !current.is_joint() && self.membership_agreed();
         if self.commit < lead.first || !settled || target.voters.is_empty() {
             return None;
         }
--- a/crates/agreement/src/core/replicate.rs
+++ b/crates/agreement/src/core/replicate.rs
@@ -207,7 +207,7 @@
     /// Goes on with a change of members once its entry is committed. True when this leader was removed
     /// by it and has stepped down.
     fn membership_committed(&mut self, now: Duration) -> bool {
-        if self.log.membership_index() > self.commit {
+        if !self.membership_agreed() {
             return false;
         }
         let membership = self.log.membership();
--- a/crates/control-cell/src/actor/leaving.rs
+++ b/crates/control-cell/src/actor/leaving.rs
@@ -41,8 +41,7 @@
     /// Whether it is agreed on that this cell has no vote.
     pub(super) fn votes_no_more(&self, id: u64) -> bool {
         let node = &self.driver.node;
-        let agreed = node.log.membership_index() <= node.commit;
-        agreed && !node.log.membership().is_voter(id)
+        node.membership_agreed() && !node.log.membership().is_voter(id)
     }
 
     /// This cell's place is taken: it may end.
--- a/crates/control-cell/src/actor/status.rs
+++ b/crates/control-cell/src/actor/status.rs
@@ -25,8 +25,7 @@
             config_version: self.desk.state().config_version(),
             members: members.iter().filter_map(|m| name(&m.id)).collect(),
             voters: node.log.membership().voters.iter().filter_map(|m| name(&m.id)).collect(),
-            voters_agreed: !node.log.membership().is_joint()
-                && node.log.membership_index() <= node.commit,
+            voters_agreed: !node.log.membership().is_joint() && node.membership_agreed(),
             stores: self
                 .desk
                 .state()
