Placement: requests stay with engines that are connected already

Cause: a proxy weighed engines by load and zone alone, with a little chance, so every call of a tool went to another engine of the zone.

Change: the scheduler asks which engines a free connection leads to and counts a new one as 12 ms of waiting, less than what a busier engine or a prompt read anew costs.

--- a/crates/request-proxy/src/app/mod.rs
+++ b/crates/request-proxy/src/app/mod.rs
@@ -42,7 +42,7 @@
     /// Those that wait in the queue, by ticket.
     pub tickets: Mutex<HashMap<u64, oneshot::Sender<Grant>>>,
     /// Kept connections to engines.
-    pub pool: Pool,
+    pub pool: Arc<Pool>,
     /// Turns and claims at the stores.
     pub bank: Arc<TurnBank>,
     /// The routing trial, as far as this node has a part in it.
@@ -65,14 +65,15 @@
         // A tenth of the memory is for chains that come back.
         let cache_bytes = (settings.limits.memory_mb << 20) as usize / 10;
         let tuning = SchedulerTuning { zone: settings.zone.clone(), ..SchedulerTuning::default() };
+        let pool = Arc::new(Pool::new());
         Arc::new(App {
             began: Instant::now(),
             live: Mutex::new(None),
             life: Mutex::new(Life.uninitialized_state_machine().init()),
             life_out: Mutex::new(None),
-            sched: Mutex::new(Scheduler::new(tuning)),
+            sched: Mutex::new(Scheduler::new(tuning, pool.clone())),
             tickets: Mutex::new(HashMap::new()),
-            pool: Pool::new(),
+            pool,
             bank: Arc::new(TurnBank::new(&shared, cache_bytes)),
             trial: TrialDesk::new(&settings.node_name),
             accounts: RequestAccounts::default(),
--- a/crates/request-proxy/src/prelude.rs
+++ b/crates/request-proxy/src/prelude.rs
@@ -34,8 +34,8 @@
     TrialRecord,
 };
 pub use session_index::prelude::{
-    chain_blocks, Ask, Block, EngineKey, FailureKind, Grant, NoteKind, Part, Placed, Policy,
-    Reason, Scheduler, SchedulerTuning,
+    chain_blocks, Ask, Block, EngineKey, FailureKind, Grant, KeptConnections, NoteKind, Part,
+    Placed, Policy, Reason, Scheduler, SchedulerTuning,
 };
 pub use spdlog::{debug, info, warn};
 pub use statig::prelude::{state_machine, InitializedStateMachine, IntoStateMachineExt};
--- a/crates/request-proxy/src/sending/pool.rs
+++ b/crates/request-proxy/src/sending/pool.rs
@@ -119,6 +119,19 @@
     }
 }
 
+impl KeptConnections for Pool {
+    fn idle_to(&self, limit: Duration) -> Vec<EngineKey> {
+        let now = Instant::now();
+        let usable = |i: &Idle| {
+            let idle = now.duration_since(i.since);
+            idle <= limit && idle <= i.keep && !i.sender.is_closed()
+        };
+        let rows = locked(&self.rows);
+        // The newest of a row is the one that would be used.
+        rows.iter().filter(|(_, row)| row.last().is_some_and(usable)).map(|(key, _)| *key).collect()
+    }
+}
+
 impl Default for Pool {
     fn default() -> Self {
         Pool::new()
--- a/crates/session-index/src/engines/mod.rs
+++ b/crates/session-index/src/engines/mod.rs
@@ -1,6 +1,8 @@
 //! The engines a proxy knows, what is under way on each, and how fast each has shown itself.
+mod connections;
 mod pace;
 
+pub use connections::{KeptConnections, NoConnections};
 pub use pace::Pace;
 
 use crate::prelude::*;
--- a/crates/session-index/src/evidence/mod.rs
+++ b/crates/session-index/src/evidence/mod.rs
@@ -200,8 +200,9 @@
     }
 
     /// How long a connection of this service may have been idle and still be used.
-    pub fn idle_limit(&mut self, service: &str, repeatable: bool, now: Duration) -> Duration {
-        self.pool(service).idle.limit(repeatable, now)
+    pub fn idle_limit(&self, service: &str, repeatable: bool, now: Duration) -> Duration {
+        let unseen = IdleLife::default();
+        self.pools.get(service).map_or(&unseen, |p| &p.idle).limit(repeatable, now)
     }
 
     /// A connection was found reset, or served, after it had been idle; a new one was idle for no time.
--- a/crates/session-index/src/prelude.rs
+++ b/crates/session-index/src/prelude.rs
@@ -1,6 +1,6 @@
 //! The one module every file of this package imports.
 pub use crate::blocks::{chain_blocks, Block, Part};
-pub use crate::engines::{EngineKey, EngineRow, EngineTable, Pace};
+pub use crate::engines::{EngineKey, EngineRow, EngineTable, KeptConnections, NoConnections, Pace};
 pub use crate::evidence::{
     Admission, DecayingCount, EvidenceTable, FailureKind, IdleLife, Note, NoteKind, Observation,
     RetryBudget, Standing, StandingEvent, StandingState,
--- a/crates/session-index/src/scheduler/choose.rs
+++ b/crates/session-index/src/scheduler/choose.rs
@@ -38,6 +38,9 @@
             ask.session.as_ref().and_then(|s| self.index.holder_of(s)).or(ask.reported_holder);
         let held = |k: EngineKey| hits.iter().find(|(x, _)| *x == k).map_or(0, |(_, n)| *n);
         let prior = SharedPrior::of(&self.engines, ask, &hits, now);
+        let idle_limit = self.evidence.idle_limit(&ask.service, false, now);
+        let connected = self.connections.idle_to(idle_limit);
+        let connect_ms = self.tuning_of(ask).connect_ms;
         let mut best: Option<(f64, &EngineRow, u32, u32)> = None;
         for e in self.engines.of_service(&ask.service) {
             if e.draining || ask.tried.contains(&e.key) || !self.has_room(e, ask, now) {
@@ -59,6 +62,7 @@
             let guessed = prior.tokens(e).saturating_sub(hit);
             let cost = self.cost(e, ask, hit + guessed, now)
                 - if holder == Some(e.key) && hit > 0 { self.tuning_of(ask).stay_ms } else { 0.0 }
+                + if connected.contains(&e.key) { 0.0 } else { connect_ms }
                 + if admission == Admission::Probe { -PROBE_MS } else { fear };
             let better = match &best {
                 None => true,
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -99,6 +99,10 @@
     pub beside_ms: f64,
     /// A request that waits there delays more.
     pub behind_ms: f64,
+    /// What a new connection costs, in ms of waiting: its handshake here, and a slot at the engine for a
+    /// moment. Where engines are far from full, requests stay with those that are connected already, so
+    /// that a proxy's connections follow its own traffic and not the number of engines.
+    pub connect_ms: f64,
 }
 
 impl Default for SchedulerTuning {
@@ -111,6 +115,7 @@
             stay_ms: 40.0,
             beside_ms: 2.0,
             behind_ms: 25.0,
+            connect_ms: 12.0,
         }
     }
 }
@@ -133,6 +138,8 @@
     /// While there is a trial: admissions of a request while a more urgent one of the same service
     /// waited. Each is a fault of this scheduler.
     pub inversions: u64,
+    /// The connections that this proxy keeps.
+    connections: Arc<dyn KeptConnections>,
     /// What may not run now, in the dispatcher's order.
     ready: ReadyQueue<Ask>,
     next_ticket: u64,
@@ -140,7 +147,8 @@
 }
 
 impl Scheduler {
-    pub fn new(tuning: SchedulerTuning) -> Self {
+    /// A scheduler that knows no engine yet; `connections` are those of its proxy.
+    pub fn new(tuning: SchedulerTuning, connections: Arc<dyn KeptConnections>) -> Self {
         let most_waiting = tuning.most_waiting;
         Scheduler {
             engines: EngineTable::default(),
@@ -149,6 +157,7 @@
             tuning,
             trial: None,
             inversions: 0,
+            connections,
             ready: ReadyQueue::new(most_waiting),
             next_ticket: 0,
             next_version: 0,
--- a/crates/session-index/src/scheduler/prior/tests.rs
+++ b/crates/session-index/src/scheduler/prior/tests.rs
@@ -5,7 +5,10 @@
 const IDS: [&str; 8] = ["0", "1", "2", "3", "4", "5", "6", "7"];
 
 fn proxy() -> Scheduler {
-    let mut s = Scheduler::new(SchedulerTuning { zone: "a".into(), ..SchedulerTuning::default() });
+    let mut s = Scheduler::new(
+        SchedulerTuning { zone: "a".into(), ..SchedulerTuning::default() },
+        Arc::new(NoConnections),
+    );
     s.learn(&table("a", 1, &IDS.map(|id| (id, false))));
     s.learn(&table("b", 1, &[("z", false)]));
     s
--- a/crates/session-index/src/scheduler/tests.rs
+++ b/crates/session-index/src/scheduler/tests.rs
@@ -22,7 +22,10 @@
 }
 
 fn scheduler() -> Scheduler {
-    let mut s = Scheduler::new(SchedulerTuning { zone: "a".into(), ..SchedulerTuning::default() });
+    let mut s = Scheduler::new(
+        SchedulerTuning { zone: "a".into(), ..SchedulerTuning::default() },
+        Arc::new(NoConnections),
+    );
     s.learn(&table("a", 1, &[("x", false), ("y", false)]));
     s.learn(&table("b", 1, &[("z", false)]));
     s
--- a/crates/session-index/tests/evidence.rs
+++ b/crates/session-index/tests/evidence.rs
@@ -346,7 +346,10 @@
 /// An ejected engine is used only when there is no other, and probed first by what may be repeated.
 #[test]
 fn elections_leave_ejected_engines_to_probes_and_to_need() {
-    let mut s = Scheduler::new(SchedulerTuning { zone: "a".into(), ..SchedulerTuning::default() });
+    let mut s = Scheduler::new(
+        SchedulerTuning { zone: "a".into(), ..SchedulerTuning::default() },
+        Arc::new(NoConnections),
+    );
     let engine = |n: u32| EngineEntry {
         id: n.to_string(),
         service: SERVICE.into(),
