Feed: zones as changes, between cells and to followers

Cause: every change of a zone was sent as the whole table to each other cell and each agent, and whole tables again to each cell every 2.5 s.

Change: ZoneChange names the state it is made from and the one it leads to. Cells answer a change with Done or TableNeeded, so a lost one is made good within 0.5 s instead of 2.5; what is said again is only which state is the newest. Followers that read changes are sent these; older ones whole tables.

--- a/crates/control-cell/src/actor/calls.rs
+++ b/crates/control-cell/src/actor/calls.rs
@@ -52,6 +52,7 @@
                 self.trial.keep(self.orders.state(), reports);
                 waiting.answer(CellReply::Done);
             }
+            CellCall::TableChange { change } => waiting.answer(self.take_zone_change(change)),
             CellCall::Agree { .. } | CellCall::Table { .. } => waiting.answer(CellReply::Done),
         }
         true
--- a/crates/control-cell/src/actor/duties.rs
+++ b/crates/control-cell/src/actor/duties.rs
@@ -9,7 +9,7 @@
         self.feed.heartbeat(now, self.driver.vouches());
         self.orders.retain_readers(|r| !r.is_gone());
         for t in self.zones.due(now, self.orders.state(), self.driver.me.id) {
-            self.send_table(&t);
+            self.send_change(t.newest(), t);
         }
         if self.ending.is_some() {
             self.members.leaves(self.driver.me.id);
--- a/crates/control-cell/src/actor/mod.rs
+++ b/crates/control-cell/src/actor/mod.rs
@@ -18,6 +18,7 @@
 
 pub use handle::{CellCommand, CellHandle, Waiting};
 pub use run::DUTY_EVERY;
+pub use zones::{ZoneChangeTaken, ZoneNews, ZoneTables};
 
 use crate::prelude::*;
 use run::Actor;
--- a/crates/control-cell/src/actor/publish.rs
+++ b/crates/control-cell/src/actor/publish.rs
@@ -3,6 +3,9 @@
 use super::run::Actor;
 use crate::prelude::*;
 
+/// A change of a zone that isn't answered within this is followed by the whole table.
+const CHANGE_WITHIN: Duration = Duration::from_millis(500);
+
 impl Actor {
     pub fn publish_state(&mut self) {
         self.publish_config();
@@ -54,23 +57,59 @@
     }
 
     pub fn listed(&mut self, zone: String, epoch: u64, engines: Vec<EngineEntry>) {
-        if let Some(table) = self.zones.listed(zone, epoch, engines) {
-            self.take_table(table.clone());
-            self.send_table(&table);
+        let Some(table) = self.zones.listed(zone, epoch, engines) else {
+            return;
+        };
+        if let Some(news) = self.zones.take(table) {
+            self.publish_zone(&news);
+            let change = news.change.unwrap_or_else(|| news.table.newest());
+            self.send_change(change, news.table);
         }
     }
 
+    /// A holder's whole table.
     pub fn take_table(&mut self, table: ZoneTable) {
-        if self.zones.take(&table) {
-            self.feed.publish(FeedItem::Zone(table));
+        if let Some(news) = self.zones.take(table) {
+            self.publish_zone(&news);
+        }
+    }
+
+    /// What a holder says has changed of its zone.
+    pub fn take_zone_change(&mut self, change: ZoneChange) -> CellReply {
+        match self.zones.take_change(change) {
+            ZoneChangeTaken::Known => CellReply::Done,
+            ZoneChangeTaken::TableNeeded => CellReply::TableNeeded,
+            ZoneChangeTaken::Applied(news) => {
+                self.publish_zone(&news);
+                CellReply::Done
+            }
+        }
+    }
+
+    fn publish_zone(&mut self, news: &ZoneNews) {
+        match &news.change {
+            Some(change) => self.feed.publish_zone_change(change.clone(), &news.table),
+            None => self.feed.publish(FeedItem::Zone(news.table.clone())),
         }
     }
 
-    pub fn send_table(&mut self, table: &ZoneTable) {
+    /// Brings the other cells to a zone's newest state: by the change, or by the whole `table` where that
+    /// doesn't follow on what a cell has, or isn't answered.
+    pub fn send_change(&mut self, change: ZoneChange, table: ZoneTable) {
+        let change = encode(&CellCall::TableChange { change });
+        let table = Arc::new(table);
         for m in self.driver.members() {
-            if m.addr != self.driver.me.addr {
-                self.links.caller(&m.addr).tell(&CellCall::Table { table: table.clone() });
+            if m.addr == self.driver.me.addr {
+                continue;
             }
+            let caller = self.links.caller(&m.addr);
+            let (change, table) = (change.clone(), table.clone());
+            tokio::spawn(async move {
+                let answer = caller.call_bytes::<CellReply>(change, CHANGE_WITHIN).await;
+                if !matches!(answer, Ok(CellReply::Done)) {
+                    caller.tell(&CellCall::Table { table: ZoneTable::clone(&table) });
+                }
+            });
         }
     }
 }
--- a/crates/control-cell/src/actor/run.rs
+++ b/crates/control-cell/src/actor/run.rs
@@ -4,7 +4,6 @@
 use super::membership::MembershipManager;
 use super::stores::StoreReports;
 use super::trial::TrialReports;
-use super::zones::ZoneTables;
 use crate::listing::{read_lists, OwnedZones};
 use crate::prelude::*;
 
--- a/crates/control-cell/src/feed/mod.rs
+++ b/crates/control-cell/src/feed/mod.rs
@@ -38,6 +38,8 @@
     pub topics: Topics,
     /// It reads configurations as differences.
     pub patches: bool,
+    /// It reads what has changed of a zone.
+    pub zone_changes: bool,
 }
 
 /// Where a follower wants its feed to go on, and what it takes.
@@ -90,9 +92,20 @@
 
     /// Numbers an item and sends it to those who take it.
     pub fn publish(&mut self, item: FeedItem) {
+        self.publish_either(item, None);
+    }
+
+    /// Publishes what has changed of a zone; followers that don't read changes are sent the whole table.
+    pub fn publish_zone_change(&mut self, change: ZoneChange, table: &ZoneTable) {
+        let whole = FeedItem::Zone(table.clone());
+        self.publish_either(FeedItem::ZoneChange(change), Some(whole));
+    }
+
+    fn publish_either(&mut self, item: FeedItem, whole: Option<FeedItem>) {
         self.no += 1;
         let n = Numbered { no: self.no, item };
-        self.send(&n);
+        let whole = whole.map(|item| Numbered { no: self.no, item });
+        self.send(&n, whole.as_ref());
         self.recent.push_back(n);
         let mut bytes: usize = self.recent.iter().map(|n| n.item.body_bytes()).sum();
         while self.recent.len() > RETAINED_ITEMS
@@ -103,16 +116,22 @@
         }
     }
 
-    /// One frame for all followers: a large item isn't copied or encoded again for each.
-    fn send(&mut self, n: &Numbered) {
+    /// One frame for all followers: a large item isn't copied or encoded again for each. `whole` is for
+    /// those that don't read changes of zones.
+    fn send(&mut self, n: &Numbered, whole: Option<&Numbered>) {
         if self.followers.is_empty() {
             return;
         }
-        let frame = encode(&FeedMsg::Items(vec![n.clone()]));
+        let frame_of = |n: &Numbered| encode(&FeedMsg::Items(vec![n.clone()]));
+        let frame = frame_of(n);
+        let is_older = |f: &Follower| !f.request.zone_changes;
+        let whole =
+            whole.filter(|_| self.followers.iter().any(is_older)).map_or(frame.clone(), frame_of);
         let patch = matches!(n.item, FeedItem::ConfigPatch { .. });
         self.followers.retain(|f| match n.item.is_of(f.request.topics) {
             // One that reads no patches is let go, and begins anew from a snapshot.
             true if patch && !f.request.patches => false,
+            true if is_older(f) => f.frames.try_send(whole.clone()).is_ok(),
             true => f.frames.try_send(frame.clone()).is_ok(),
             false => !f.frames.is_closed(),
         });
@@ -141,7 +160,8 @@
         let (tx, rx) = mpsc::channel(256);
         let oldest = self.recent.front().map_or(self.no + 1, |n| n.no);
         let mut items: Vec<Numbered> = Vec::new();
-        if request.patches && feed == self.id && no + 1 >= oldest && no <= self.no {
+        let reads_recent = request.patches && request.zone_changes;
+        if reads_recent && feed == self.id && no + 1 >= oldest && no <= self.no {
             items.extend(self.recent.iter().filter(|n| n.no > no).cloned());
         } else {
             items.extend(snapshot().into_iter().map(|item| Numbered { no: self.no, item }));
@@ -162,6 +182,6 @@
             return;
         }
         self.next_heartbeat = now + HEARTBEAT;
-        self.send(&Numbered { no: self.no, item: FeedItem::Heartbeat });
+        self.send(&Numbered { no: self.no, item: FeedItem::Heartbeat }, None);
     }
 }
--- a/crates/control-cell/src/prelude.rs
+++ b/crates/control-cell/src/prelude.rs
@@ -1,5 +1,7 @@
 //! The one module every file of this package imports.
-pub use crate::actor::{CellCommand, CellHandle, Waiting, DUTY_EVERY};
+pub use crate::actor::{
+    CellCommand, CellHandle, Waiting, ZoneChangeTaken, ZoneNews, ZoneTables, DUTY_EVERY,
+};
 pub use crate::duties::{
     next_holders, next_membership, next_stores, CorePolicy, JoinRequest, MemberObservation,
     MembershipBounds, RecoveryBounds, RecoverySteps, StoreObservation,
@@ -18,7 +20,8 @@
     Membership, Msg, Outcome, RetireState, Snapshot, TrialReport, TrialRequest,
 };
 pub use internal_protocol::feed::{
-    EngineEntry, FeedItem, FeedMsg, FollowMsg, Numbered, Topics, ZoneTable,
+    EngineEntry, FeedItem, FeedMsg, FollowMsg, Numbered, Topics, ZoneChange, ZoneChangeOutcome,
+    ZoneTable, ZoneVersion,
 };
 pub use internal_protocol::patch::Patch;
 pub use internal_protocol::prelude::*;
--- a/crates/control-cell/tests/currency.rs
+++ b/crates/control-cell/tests/currency.rs
@@ -75,8 +75,11 @@
     });
 }
 
-const ANY: FollowFrom =
-    FollowFrom { feed: 0, no: 0, request: FeedRequest { topics: Topics::All, patches: true } };
+const ANY: FollowFrom = FollowFrom {
+    feed: 0,
+    no: 0,
+    request: FeedRequest { topics: Topics::All, patches: true, zone_changes: true },
+};
 
 /// Opens a feed at a cell, kills the others, and waits for the feed to end.
 async fn feed_ends_without_majority(place: &Place, at_leader: bool) {
--- a/crates/control-cell/tests/feed.rs
+++ b/crates/control-cell/tests/feed.rs
@@ -26,7 +26,7 @@
     let mut book = FeedLog::default();
     let mut follow = |topics, patches| {
         let (tx, rx) = mpsc::channel(16);
-        book.add_follower(FeedRequest { topics, patches }, tx);
+        book.add_follower(FeedRequest { topics, patches, zone_changes: patches }, tx);
         rx
     };
     let mut agent = follow(Topics::All, true);
@@ -68,7 +68,7 @@
 fn followers_are_let_go_as_soon_as_contact_is_lost() {
     let mut book = FeedLog::default();
     let now = Instant::now();
-    let all = FeedRequest { topics: Topics::All, patches: true };
+    let all = FeedRequest { topics: Topics::All, patches: true, zone_changes: true };
     let mut opened = book.open(FollowFrom { feed: 0, no: 0, request: all }, Vec::new);
     book.heartbeat(now, true);
     assert_eq!(status(&mut opened.items), [FeedItem::Current, FeedItem::Heartbeat]);
@@ -76,3 +76,30 @@
     assert_eq!(book.follower_count(), 0);
     assert!(opened.items.is_closed());
 }
+
+/// Followers that read changes of zones are sent no more than these; older ones the whole table, over the
+/// same numbers.
+#[test]
+fn a_change_of_a_zone_is_sent_as_each_follower_reads_it() {
+    let before = ZoneTable { zone: "a".into(), epoch: 1, seq: 1, engines: Vec::new() };
+    let after = ZoneTable { seq: 2, ..before.clone() };
+    let change = before.change_to(&after);
+    let mut log = FeedLog::default();
+    let reads = |zone_changes| FeedRequest { topics: Topics::All, patches: true, zone_changes };
+    let from = |log: &mut FeedLog, feed, no, request| {
+        log.open(FollowFrom { feed, no, request }, || vec![FeedItem::Zone(before.clone())])
+    };
+    let mut new = from(&mut log, 0, 0, reads(true));
+    let mut old = from(&mut log, 0, 0, reads(false));
+    let begun = [FeedItem::Zone(before.clone()), FeedItem::Current];
+    assert_eq!(status(&mut new.items), begun);
+    assert_eq!(status(&mut old.items), begun);
+    log.publish_zone_change(change.clone(), &after);
+    assert_eq!(status(&mut new.items), [FeedItem::ZoneChange(change.clone())]);
+    assert_eq!(status(&mut old.items), [FeedItem::Zone(after)]);
+    // One that comes back goes on from its place; an older one begins anew.
+    let mut back = from(&mut log, new.feed, 0, reads(true));
+    assert_eq!(status(&mut back.items), [FeedItem::ZoneChange(change), FeedItem::Current]);
+    let mut back = from(&mut log, old.feed, 0, reads(false));
+    assert_eq!(status(&mut back.items), begun);
+}
--- a/crates/feed-client/src/base/mod.rs
+++ b/crates/feed-client/src/base/mod.rs
@@ -1,4 +1,4 @@
-//! Makes configurations that came as differences whole again.
+//! Makes configurations that came as differences whole again, and watches that changes of zones follow on.
 use crate::prelude::*;
 
 /// Invariant: `last` is the configuration the followed feed sent last, by version.
@@ -25,3 +25,33 @@
         }
     }
 }
+
+/// Invariant: `at` holds, for each zone, the latest state that the follower was brought to. It outlives
+/// links, as the follower's view does.
+#[derive(Debug, Default)]
+pub struct ZoneSteps {
+    at: HashMap<String, ZoneVersion>,
+}
+
+impl ZoneSteps {
+    /// Whether the follower can take the item: false for a change of a zone that doesn't follow on what it
+    /// was brought to before.
+    pub fn follows(&mut self, item: &FeedItem) -> bool {
+        match item {
+            FeedItem::Zone(table) => {
+                let at = self.at.entry(table.zone.clone()).or_insert_with(|| table.version());
+                *at = table.version().max(*at);
+                true
+            }
+            FeedItem::ZoneChange(change) => match self.at.get_mut(&change.zone) {
+                Some(at) if *at >= change.version => true,
+                Some(at) if *at == change.base => {
+                    *at = change.version;
+                    true
+                }
+                _ => false,
+            },
+            _ => true,
+        }
+    }
+}
--- a/crates/feed-client/src/link/mod.rs
+++ b/crates/feed-client/src/link/mod.rs
@@ -77,6 +77,7 @@
     let began = Instant::now();
     let mut place = (0u64, 0u64);
     let mut base = PatchBase::default();
+    let mut zones = ZoneSteps::default();
     let mut pause = Backoff::new(Duration::from_millis(40), Duration::from_millis(160));
     let mut feed = Feed.uninitialized_state_machine().init();
     while !out.is_closed() {
@@ -94,6 +95,7 @@
                 began,
                 place: &mut place,
                 base: &mut base,
+                zones: &mut zones,
                 cells: &mut cells,
             };
             let _ = run_link(&settings, &mut wire, &mut at, &mut feed, &out, &mut status).await;
@@ -121,6 +123,8 @@
     place: &'a mut (u64, u64),
     /// The configuration this feed sent last, as of that place.
     base: &'a mut PatchBase,
+    /// The state of each zone that this follower has been brought to.
+    zones: &'a mut ZoneSteps,
     cells: &'a mut CellRank,
 }
 
@@ -138,6 +142,7 @@
         no: at.place.1,
         topics: settings.topics,
         patches: true,
+        zone_changes: true,
     };
     wire.send(encode(&hello)).await.ok()?;
     let mut last = Instant::now();
@@ -187,17 +192,20 @@
                             if n.item == FeedItem::Heartbeat {
                                 continue;
                             }
-                            // An agent tells its proxy whole ones.
+                            let in_step = at.zones.follows(&n.item);
+                            // An agent tells its proxy whole configurations.
                             let item = match settings.seeds.is_fixed() {
                                 true => Some(n.item),
                                 false => at.base.whole(n.item),
                             };
-                            let Some(item) = item else {
-                                // Out of step with the cell: all is asked for anew.
-                                *at.place = (0, 0);
-                                return None;
-                            };
-                            list.push(item);
+                            match item {
+                                Some(item) if in_step => list.push(item),
+                                // Out of step with the feed: all is asked for anew.
+                                _ => {
+                                    *at.place = (0, 0);
+                                    return None;
+                                }
+                            }
                         }
                         if !list.is_empty() {
                             out.send(FeedUpdate::Items(list)).await.ok()?;
--- a/crates/feed-client/src/view/mod.rs
+++ b/crates/feed-client/src/view/mod.rs
@@ -76,6 +76,10 @@
                 }
                 newer
             }
+            FeedItem::ZoneChange(change) => {
+                let table = self.zones.get_mut(&change.zone);
+                table.is_some_and(|t| t.apply(change) == ZoneChangeOutcome::Applied)
+            }
             FeedItem::Cells { index, addrs, .. } => {
                 let newer = *index > self.cells.index || self.cells.addrs.is_empty();
                 if newer {
--- a/crates/feed-client/tests/base.rs
+++ b/crates/feed-client/tests/base.rs
@@ -1,4 +1,4 @@
-//! Configurations that come as differences are made whole.
+//! Configurations that come as differences are made whole, and changes of zones follow on.
 use feed_client::prelude::*;
 
 fn body(n: u64) -> ByteBuf {
@@ -30,3 +30,40 @@
     })
     .size_min(256);
 }
+
+/// Two cells, the second at times behind, and changes that are missed: a follower either has what its view
+/// says, or knows that it is out of step.
+#[test]
+fn a_follower_never_takes_a_change_that_does_not_follow_on() {
+    let state = |seq: u64| ZoneTable { zone: "a".into(), epoch: 1, seq, engines: Vec::new() };
+    arbtest::arbtest(|u| {
+        let (mut steps, mut view) = (ZoneSteps::default(), FeedView::default());
+        for _ in 0..u.int_in_range(1..=20u8)? {
+            let base = u.int_in_range(1..=8u64)?;
+            let item = match u.ratio(1, 4)? {
+                true => FeedItem::Zone(state(base)),
+                false => {
+                    let to = base + u.int_in_range(0..=2u64)?;
+                    FeedItem::ZoneChange(state(base).change_to(&state(to)))
+                }
+            };
+            let at = view.zones.get("a").map_or(0, |t| t.seq);
+            let wanted = match &item {
+                FeedItem::ZoneChange(c) => at > 0 && (c.version.seq <= at || c.base.seq == at),
+                _ => true,
+            };
+            assert_eq!(steps.follows(&item), wanted);
+            if wanted {
+                view.take(&item);
+                let reached = match &item {
+                    FeedItem::Zone(t) => t.seq,
+                    FeedItem::ZoneChange(c) => c.version.seq,
+                    _ => 0,
+                };
+                assert_eq!(view.zones["a"].seq, at.max(reached));
+            }
+        }
+        Ok(())
+    })
+    .size_min(256);
+}
--- a/crates/internal-protocol/src/cells/calls.rs
+++ b/crates/internal-protocol/src/cells/calls.rs
@@ -1,8 +1,8 @@
 //! What a cell is asked by other cells and processes, and what it answers.
 use super::{CellStatus, Change, Member, Msg, Outcome, TrialReport, TrialRequest};
-use crate::feed::ZoneTable;
 use crate::prelude::*;
 use crate::stores::StoreStatus;
+use crate::zones::{ZoneChange, ZoneTable};
 
 /// What a cell is asked, by other cells and by its own tasks.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -47,6 +47,12 @@
         /// The table.
         table: ZoneTable,
     },
+    /// What has changed of a holder's zone; one that changes nothing says which state is the newest.
+    /// Answered with `Done`, or with `TableNeeded`.
+    TableChange {
+        /// The change.
+        change: ZoneChange,
+    },
     /// A store is to be emptied, or how far that is.
     Retire {
         /// Its name.
@@ -95,6 +101,8 @@
     Status(Box<CellStatus>),
     /// The routing trial; none when there never was one.
     Trial(Option<Box<TrialReport>>),
+    /// A zone's change doesn't follow on the table here: the whole table is needed.
+    TableNeeded,
 }
 
 /// How far a store's retirement is.
--- a/crates/internal-protocol/src/feed.rs
+++ b/crates/internal-protocol/src/feed.rs
@@ -2,39 +2,7 @@
 use crate::patch::Patch;
 use crate::prelude::*;
 use crate::stores::{StoreSet, StoreStatus};
-
-/// An engine as the platform's list shows it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct EngineEntry {
-    /// The platform's name for it.
-    pub id: String,
-    /// The service that it answers for.
-    pub service: String,
-    /// Where it answers.
-    pub addr: String,
-    /// Its zone.
-    pub zone: String,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    /// It leaves: nothing new is sent to it.
-    pub draining: bool,
-    /// How long it has yet to warm up, as the list says.
-    pub cold_ms: u64,
-}
-
-/// All engines of a zone. Invariant: (`epoch`, `seq`) never goes back for a zone; `epoch` is the
-/// log index that made the holder, `seq` counts that holder's tables.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ZoneTable {
-    /// Which zone.
-    pub zone: String,
-    /// The log index that made its holder.
-    pub epoch: u64,
-    /// Counts that holder's tables.
-    pub seq: u64,
-    /// All that are listed.
-    pub engines: Vec<EngineEntry>,
-}
+pub use crate::zones::{EngineEntry, ZoneChange, ZoneChangeOutcome, ZoneTable, ZoneVersion};
 
 /// What the feed carries.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -63,6 +31,8 @@
     Stores(StoreSet),
     /// The engines of one zone.
     Zone(ZoneTable),
+    /// What has changed of one zone's engines. It follows on what this feed sent of the zone before.
+    ZoneChange(ZoneChange),
     /// Addresses of the cells, by log index, and in the same order the zone of each ("" where it
     /// isn't known yet).
     Cells {
@@ -116,6 +86,7 @@
                 FeedItem::Config { .. }
                     | FeedItem::ConfigPatch { .. }
                     | FeedItem::Zone(_)
+                    | FeedItem::ZoneChange(_)
                     | FeedItem::Trial { .. }
             )
     }
@@ -145,9 +116,11 @@
         #[serde(default)]
         topics: Topics,
         /// It reads `ConfigPatch`.
-        /// Whether it does.
         #[serde(default)]
         patches: bool,
+        /// It reads `ZoneChange`.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        zone_changes: bool,
     },
     /// A store's report about itself.
     Announce {
--- a/crates/internal-protocol/src/lib.rs
+++ b/crates/internal-protocol/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod patch;
 pub mod prelude;
 pub mod stores;
+pub mod zones;
 
 /// Records from before `lossCounted` was read, and settings that don't name it: every machine counts.
 fn loss_counted_by_default() -> bool {
--- a/crates/request-proxy/src/app/feed.rs
+++ b/crates/request-proxy/src/app/feed.rs
@@ -87,6 +87,10 @@
                 drop(sched);
                 self.pump();
             }
+            FeedItem::ZoneChange(change) => {
+                locked(&self.sched).learn_change(change);
+                self.pump();
+            }
             FeedItem::Trial { trial, .. } => self.learn_trial(trial),
             FeedItem::ConfigPatch { .. }
             | FeedItem::Cells { .. }
--- a/crates/session-index/src/engines/mod.rs
+++ b/crates/session-index/src/engines/mod.rs
@@ -70,7 +70,8 @@
     rows: Slab<EngineRow>,
     by_key: HashMap<EngineKey, usize>,
     by_service: HashMap<Arc<str>, Vec<usize>>,
-    zones: BTreeMap<String, Vec<EngineKey>>,
+    /// Who is listed in each zone.
+    zones: BTreeMap<String, HashSet<EngineKey>>,
     /// Lives that were on the list and have left it, oldest first, as many as are remembered.
     left: VecDeque<EngineKey>,
 }
@@ -91,14 +92,34 @@
         self.by_service.get(service).into_iter().flatten().map(|i| &self.rows[*i])
     }
 
-    /// Takes an zone's table, and tells the evidence who has come and gone; gives back the engines that
+    /// Takes a zone's table, and tells the evidence who has come and gone; gives back the engines that
     /// are gone.
     pub fn learn(&mut self, t: &ZoneTable, evidence: &mut EvidenceTable) -> Vec<EngineKey> {
-        let mut now: Vec<EngineKey> = Vec::new();
-        for e in &t.engines {
+        let listed: HashSet<EngineKey> = t.engines.iter().map(|e| EngineKey::of(&e.id)).collect();
+        let before = self.zones.entry(t.zone.clone()).or_default();
+        let gone: Vec<EngineKey> = before.difference(&listed).copied().collect();
+        self.put(&t.zone, &t.engines, evidence);
+        self.remove(&t.zone, &gone, evidence);
+        gone
+    }
+
+    /// Takes what has changed of a zone, and gives back the engines that are gone.
+    pub fn learn_change(
+        &mut self,
+        change: &ZoneChange,
+        evidence: &mut EvidenceTable,
+    ) -> Vec<EngineKey> {
+        let gone: Vec<EngineKey> = change.removed.iter().map(|id| EngineKey::of(id)).collect();
+        self.put(&change.zone, &change.put, evidence);
+        self.remove(&change.zone, &gone, evidence);
+        gone
+    }
+
+    fn put(&mut self, zone: &str, engines: &[EngineEntry], evidence: &mut EvidenceTable) {
+        for e in engines {
             let Ok(addr) = e.addr.parse() else { continue };
             let key = EngineKey::of(&e.id);
-            now.push(key);
+            self.zones.entry(zone.to_string()).or_default().insert(key);
             match self.get_mut(key) {
                 Some(r) => r.draining |= e.draining,
                 None => {
@@ -107,9 +128,13 @@
                 }
             }
         }
-        let before = self.zones.insert(t.zone.clone(), now.clone()).unwrap_or_default();
-        let gone: Vec<EngineKey> = before.into_iter().filter(|k| !now.contains(k)).collect();
-        for k in &gone {
+    }
+
+    fn remove(&mut self, zone: &str, gone: &[EngineKey], evidence: &mut EvidenceTable) {
+        for k in gone {
+            if let Some(listed) = self.zones.get_mut(zone) {
+                listed.remove(k);
+            }
             self.left.push_back(*k);
             if self.left.len() > LEFT_KEPT {
                 self.left.pop_front();
@@ -122,7 +147,6 @@
                 }
             }
         }
-        gone
     }
 
     /// Whether a life was on the list and has left it.
--- a/crates/session-index/src/prelude.rs
+++ b/crates/session-index/src/prelude.rs
@@ -8,7 +8,7 @@
 pub use crate::index::{BlockRecord, CacheIndex, IndexTuning, Tier};
 pub use crate::scheduler::{Ask, Grant, Placed, Policy, Reason, Scheduler, SchedulerTuning};
 pub use dispatcher::prelude::{ReadyQueue, ReadyTurn};
-pub use internal_protocol::feed::{EngineEntry, ZoneTable};
+pub use internal_protocol::feed::{EngineEntry, ZoneChange, ZoneTable};
 pub use internal_protocol::prelude::*;
 pub use slab::Slab;
 pub use statig::prelude::{state_machine, InitializedStateMachine, IntoStateMachineExt};
--- a/crates/session-index/src/scheduler/mod.rs
+++ b/crates/session-index/src/scheduler/mod.rs
@@ -165,8 +165,19 @@
     }
 
     pub fn learn(&mut self, t: &ZoneTable) {
-        for k in self.engines.learn(t, &mut self.evidence) {
-            self.index.forget_engine(k);
+        let gone = self.engines.learn(t, &mut self.evidence);
+        self.forget_engines(&gone);
+    }
+
+    /// Takes what has changed of a zone's engines.
+    pub fn learn_change(&mut self, change: &ZoneChange) {
+        let gone = self.engines.learn_change(change, &mut self.evidence);
+        self.forget_engines(&gone);
+    }
+
+    fn forget_engines(&mut self, gone: &[EngineKey]) {
+        for k in gone {
+            self.index.forget_engine(*k);
         }
     }
 
--- a/crates/stand-ins/tests/landed_versions.rs
+++ b/crates/stand-ins/tests/landed_versions.rs
@@ -320,6 +320,7 @@
         no: 6,
         topics: Topics::Stores,
         patches: true,
+        zone_changes: false,
     };
     let numbered = |item: FeedItem| encode(&FeedMsg::Items(vec![Numbered { no: 3, item }]));
     let patch = Patch::between(b"{a}{b}", b"{a}{c}{b}");
