--- a/crates/control-cell/src/feed/mod.rs
+++ b/crates/control-cell/src/feed/mod.rs
@@ -43,12 +43,14 @@
 }
 
 /// Where a follower wants its feed to go on, and what it takes.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct FollowFrom {
     /// The feed it followed before.
     pub feed: u64,
     /// The newest number it has of it.
     pub no: u64,
+    /// What it has of other feeds.
+    pub holdings: Holdings,
     /// What it takes.
     pub request: FeedRequest,
 }
@@ -150,13 +152,14 @@
         });
     }
 
-    /// Opens a follower's feed: from its place when it is still here, else from a `snapshot`.
+    /// Opens a follower's feed: from its place when it is still here, else from a `snapshot` without what it
+    /// has already.
     pub fn open(
         &mut self,
         from: FollowFrom,
         snapshot: impl FnOnce() -> Vec<FeedItem>,
     ) -> OpenedFeed {
-        let FollowFrom { feed, no, request } = from;
+        let FollowFrom { feed, no, request, holdings } = from;
         let (tx, rx) = mpsc::channel(256);
         let oldest = self.recent.front().map_or(self.no + 1, |n| n.no);
         let mut items: Vec<Numbered> = Vec::new();
@@ -164,7 +167,8 @@
         if reads_recent && feed == self.id && no + 1 >= oldest && no <= self.no {
             items.extend(self.recent.iter().filter(|n| n.no > no).cloned());
         } else {
-            items.extend(snapshot().into_iter().map(|item| Numbered { no: self.no, item }));
+            let needed = snapshot().into_iter().filter(|item| !holdings.contain(item));
+            items.extend(needed.map(|item| Numbered { no: self.no, item }));
         }
         items.push(Numbered { no: self.no, item: FeedItem::Current });
         items.retain(|n| n.item.is_of(request.topics));
--- a/crates/control-cell/src/follow/mod.rs
+++ b/crates/control-cell/src/follow/mod.rs
@@ -19,11 +19,13 @@
         Ok(Some(Ok(b))) => decode::<FollowMsg>(&b),
         _ => return,
     };
-    let Some(FollowMsg::Follow { feed, no, topics, patches, zone_changes, .. }) = first else {
+    let Some(FollowMsg::Follow { feed, no, topics, patches, zone_changes, holdings, .. }) = first
+    else {
         return;
     };
     // What follows is only sent once a majority has confirmed that this cell is not cut off.
-    let from = FollowFrom { feed, no, request: FeedRequest { topics, patches, zone_changes } };
+    let request = FeedRequest { topics, patches, zone_changes };
+    let from = FollowFrom { feed, no, request, holdings: holdings.unwrap_or_default() };
     let Some(OpenedFeed { mut items, feed: opened }) = cell.follow(from).await else {
         return;
     };
--- a/crates/control-cell/src/prelude.rs
+++ b/crates/control-cell/src/prelude.rs
@@ -20,8 +20,8 @@
     Membership, Msg, Outcome, RetireState, Snapshot, TrialReport, TrialRequest,
 };
 pub use internal_protocol::feed::{
-    EngineEntry, FeedItem, FeedMsg, FollowMsg, Numbered, Topics, ZoneChange, ZoneChangeOutcome,
-    ZoneTable, ZoneVersion,
+    EngineEntry, FeedItem, FeedMsg, FollowMsg, Holdings, Numbered, Topics, ZoneChange,
+    ZoneChangeOutcome, ZoneTable, ZoneVersion,
 };
 pub use internal_protocol::patch::Patch;
 pub use internal_protocol::prelude::*;
--- a/crates/control-cell/tests/currency.rs
+++ b/crates/control-cell/tests/currency.rs
@@ -75,11 +75,14 @@
     });
 }
 
-const ANY: FollowFrom = FollowFrom {
-    feed: 0,
-    no: 0,
-    request: FeedRequest { topics: Topics::All, patches: true, zone_changes: true },
-};
+fn any() -> FollowFrom {
+    FollowFrom {
+        feed: 0,
+        no: 0,
+        request: FeedRequest { topics: Topics::All, patches: true, zone_changes: true },
+        holdings: Holdings::default(),
+    }
+}
 
 /// Opens a feed at a cell, kills the others, and waits for the feed to end.
 async fn feed_ends_without_majority(place: &Place, at_leader: bool) {
@@ -90,7 +93,7 @@
     until("a feed at a cell in its role", async || {
         let leader = leader_at(&cells).await;
         at = if at_leader { leader } else { (leader + 1) % 3 };
-        opened = cells[at].follow(ANY).await;
+        opened = cells[at].follow(any()).await;
         opened.is_some() && leader_at(&cells).await == leader
     })
     .await;
@@ -98,7 +101,7 @@
     let mut opened = opened.unwrap();
     drop(processes);
     until("the end of the feed", async || opened.items.recv().await.is_none()).await;
-    assert!(cell.follow(ANY).await.is_none(), "opened without a majority");
+    assert!(cell.follow(any()).await.is_none(), "opened without a majority");
 }
 
 #[test]
--- a/crates/control-cell/tests/feed.rs
+++ b/crates/control-cell/tests/feed.rs
@@ -69,7 +69,8 @@
     let mut book = FeedLog::default();
     let now = Instant::now();
     let all = FeedRequest { topics: Topics::All, patches: true, zone_changes: true };
-    let mut opened = book.open(FollowFrom { feed: 0, no: 0, request: all }, Vec::new);
+    let mut opened = book
+        .open(FollowFrom { feed: 0, no: 0, request: all, holdings: Holdings::default() }, Vec::new);
     book.heartbeat(now, true);
     assert_eq!(status(&mut opened.items), [FeedItem::Current, FeedItem::Heartbeat]);
     book.heartbeat(now + Duration::from_millis(1), false);
@@ -87,7 +88,9 @@
     let mut log = FeedLog::default();
     let reads = |zone_changes| FeedRequest { topics: Topics::All, patches: true, zone_changes };
     let from = |log: &mut FeedLog, feed, no, request| {
-        log.open(FollowFrom { feed, no, request }, || vec![FeedItem::Zone(before.clone())])
+        log.open(FollowFrom { feed, no, request, holdings: Holdings::default() }, || {
+            vec![FeedItem::Zone(before.clone())]
+        })
     };
     let mut new = from(&mut log, 0, 0, reads(true));
     let mut old = from(&mut log, 0, 0, reads(false));
@@ -103,3 +106,30 @@
     let mut back = from(&mut log, old.feed, 0, reads(false));
     assert_eq!(status(&mut back.items), begun);
 }
+
+/// A follower that comes from another cell is sent what it doesn't have: any older or newer state is
+/// another content.
+#[test]
+fn a_follower_of_another_cell_is_sent_only_what_differs() {
+    let zone =
+        |name: &str, seq| ZoneTable { zone: name.into(), epoch: 1, seq, engines: Vec::new() };
+    let snapshot =
+        || vec![config(7, 9), FeedItem::Zone(zone("a", 4)), FeedItem::Zone(zone("b", 2))];
+    let request = FeedRequest { topics: Topics::All, patches: true, zone_changes: true };
+    let sent = |holdings: Holdings| {
+        let from = FollowFrom { feed: 99, no: 3, request, holdings };
+        let mut items = status(&mut FeedLog::default().open(from, snapshot).items);
+        assert_eq!(items.pop(), Some(FeedItem::Current));
+        items
+    };
+    let held = |config, zones: &[(&str, u64)]| Holdings {
+        config,
+        zones: zones.iter().map(|(z, seq)| (z.to_string(), zone(z, *seq).version())).collect(),
+    };
+    assert_eq!(sent(Holdings::default()), snapshot());
+    assert_eq!(sent(held(Some(7), &[("a", 4), ("b", 2)])), []);
+    let older = sent(held(Some(6), &[("a", 4), ("b", 1)]));
+    assert_eq!(older, [config(7, 9), FeedItem::Zone(zone("b", 2))]);
+    // A cell that is behind sends what it has; the follower's view takes nothing back.
+    assert_eq!(sent(held(Some(8), &[("a", 5), ("b", 2)])), snapshot()[..2]);
+}
--- a/crates/feed-client/src/base/mod.rs
+++ b/crates/feed-client/src/base/mod.rs
@@ -1,29 +1,41 @@
 //! Makes configurations that came as differences whole again, and watches that changes of zones follow on.
 use crate::prelude::*;
 
-/// Invariant: `last` is the configuration the followed feed sent last, by version.
+/// Invariant: `last` is the configuration the followed feed sent last.
 #[derive(Debug, Default)]
 pub struct PatchBase {
-    last: Option<(u64, ByteBuf)>,
+    last: Option<LastConfig>,
+}
+
+#[derive(Debug)]
+struct LastConfig {
+    index: u64,
+    version: u64,
+    body: ByteBuf,
 }
 
 impl PatchBase {
     /// The item, with a difference made whole; none when it isn't one to what was sent last.
     pub fn whole(&mut self, item: FeedItem) -> Option<FeedItem> {
         match item {
-            FeedItem::Config { version, ref body, .. } => {
-                self.last = Some((version, body.clone()));
+            FeedItem::Config { index, version, ref body } => {
+                self.last = Some(LastConfig { index, version, body: body.clone() });
                 Some(item)
             }
             FeedItem::ConfigPatch { index, version, base, patch } => {
-                let (_, old) = self.last.as_ref().filter(|(s, _)| *s == base)?;
-                let body = ByteBuf::from(patch.apply(old)?);
-                self.last = Some((version, body.clone()));
+                let old = self.last.as_ref().filter(|last| last.version == base)?;
+                let body = ByteBuf::from(patch.apply(&old.body)?);
+                self.last = Some(LastConfig { index, version, body: body.clone() });
                 Some(FeedItem::Config { index, version, body })
             }
             _ => Some(item),
         }
     }
+
+    /// The log index of the configuration sent last.
+    pub fn index(&self) -> Option<u64> {
+        self.last.as_ref().map(|last| last.index)
+    }
 }
 
 /// Invariant: `at` holds, for each zone, the latest state that the follower was brought to. It outlives
@@ -34,6 +46,11 @@
 }
 
 impl ZoneSteps {
+    /// The latest state of each zone that the follower was brought to.
+    pub fn reached(&self) -> BTreeMap<String, ZoneVersion> {
+        self.at.iter().map(|(zone, version)| (zone.clone(), *version)).collect()
+    }
+
     /// Whether the follower can take the item: false for a change of a zone that doesn't follow on what it
     /// was brought to before.
     pub fn follows(&mut self, item: &FeedItem) -> bool {
--- a/crates/feed-client/src/link/mod.rs
+++ b/crates/feed-client/src/link/mod.rs
@@ -128,6 +128,17 @@
     cells: &'a mut CellRank,
 }
 
+impl LinkAt<'_> {
+    /// What a cell needn't send: nothing where all is asked for, and nothing of a proxy's, since its agent
+    /// lives no longer than it.
+    fn holdings(&self, settings: &FollowSettings) -> Option<Holdings> {
+        let asks_for_all = *self.place == (0, 0);
+        let keeps = !settings.seeds.is_fixed() && settings.topics == Topics::All;
+        (keeps && !asks_for_all)
+            .then(|| Holdings { config: self.base.index(), zones: self.zones.reached() })
+    }
+}
+
 async fn run_link<W: Into<FollowMsg> + Clone>(
     settings: &FollowSettings,
     wire: &mut Wire,
@@ -143,6 +154,7 @@
         topics: settings.topics,
         patches: true,
         zone_changes: true,
+        holdings: at.holdings(settings),
     };
     wire.send(encode(&hello)).await.ok()?;
     let mut last = Instant::now();
@@ -177,6 +189,7 @@
                     }
                     FeedMsg::Items(items) => {
                         let mut list = Vec::with_capacity(items.len());
+                        let mut in_step = true;
                         for n in items {
                             at.place.1 = at.place.1.max(n.no);
                             match &n.item {
@@ -192,24 +205,27 @@
                             if n.item == FeedItem::Heartbeat {
                                 continue;
                             }
-                            let in_step = at.zones.follows(&n.item);
+                            in_step = at.zones.follows(&n.item);
                             // An agent tells its proxy whole configurations.
                             let item = match settings.seeds.is_fixed() {
                                 true => Some(n.item),
                                 false => at.base.whole(n.item),
                             };
+                            in_step &= item.is_some();
                             match item {
                                 Some(item) if in_step => list.push(item),
-                                // Out of step with the feed: all is asked for anew.
-                                _ => {
-                                    *at.place = (0, 0);
-                                    return None;
-                                }
+                                _ => break,
                             }
                         }
+                        // What was recorded as reached is given on in any case.
                         if !list.is_empty() {
                             out.send(FeedUpdate::Items(list)).await.ok()?;
                         }
+                        if !in_step {
+                            // All is asked for anew.
+                            *at.place = (0, 0);
+                            return None;
+                        }
                         let follows = matches!(feed.state(), FeedState::Following {});
                         if follows && at.cells.goes_home(at.cell, at.began.elapsed()) {
                             return None;
--- a/crates/feed-client/src/prelude.rs
+++ b/crates/feed-client/src/prelude.rs
@@ -5,8 +5,8 @@
 pub use crate::seeds::Seeds;
 pub use crate::view::{FeedView, ViewedCells, ViewedConfig, ViewedTrial};
 pub use internal_protocol::feed::{
-    EngineEntry, FeedItem, FeedMsg, FollowMsg, Numbered, Topics, ZoneChange, ZoneChangeOutcome,
-    ZoneTable, ZoneVersion,
+    EngineEntry, FeedItem, FeedMsg, FollowMsg, Holdings, Numbered, Topics, ZoneChange,
+    ZoneChangeOutcome, ZoneTable, ZoneVersion,
 };
 pub use internal_protocol::patch::Patch;
 pub use internal_protocol::prelude::*;
--- a/crates/internal-protocol/src/feed.rs
+++ b/crates/internal-protocol/src/feed.rs
@@ -101,6 +101,27 @@
     pub item: FeedItem,
 }
 
+/// What a follower has from the feeds that it followed before. Versions name contents, whichever cell sent
+/// them, so a follower that moves to another cell needs no more than what is newer there.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Holdings {
+    /// The log index of the configuration that it has.
+    pub config: Option<u64>,
+    /// The state that it has of each zone.
+    pub zones: BTreeMap<String, ZoneVersion>,
+}
+
+impl Holdings {
+    /// Whether the item is among them.
+    pub fn contain(&self, item: &FeedItem) -> bool {
+        match item {
+            FeedItem::Config { index, .. } => self.config == Some(*index),
+            FeedItem::Zone(table) => self.zones.get(&table.zone) == Some(&table.version()),
+            _ => false,
+        }
+    }
+}
+
 /// What a follower says to the cell that it follows.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum FollowMsg {
@@ -121,6 +142,9 @@
         /// It reads `ZoneChange`.
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         zone_changes: bool,
+        /// What a snapshot may leave out.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        holdings: Option<Holdings>,
     },
     /// A store's report about itself.
     Announce {
--- a/crates/stand-ins/tests/landed_versions.rs
+++ b/crates/stand-ins/tests/landed_versions.rs
@@ -321,6 +321,7 @@
         topics: Topics::Stores,
         patches: true,
         zone_changes: false,
+        holdings: None,
     };
     let numbered = |item: FeedItem| encode(&FeedMsg::Items(vec![Numbered { no: 3, item }]));
     let patch = Patch::between(b"{a}{b}", b"{a}{c}{b}");
