--- a/crates/control-cell/src/actor/handle.rs
+++ b/crates/control-cell/src/actor/handle.rs
@@ -46,6 +46,8 @@
         /// The engines on the list.
         engines: Vec<EngineEntry>,
     },
+    /// The cells as this one knows them, unconfirmed.
+    Cells(Waiting<FeedItem>),
     /// Opens a feed; none when no majority confirms that this cell is current.
     Follow(FollowFrom, Waiting<Option<OpenedFeed>>),
     /// Reads the newest configuration; none when no majority confirms that this cell is current.
@@ -136,6 +138,11 @@
         self.wait(deadline, CellCommand::ReadConfig).await?
     }
 
+    /// The cells as this one knows them: a hint where to follow.
+    pub async fn cells(&self) -> Option<FeedItem> {
+        self.wait(Instant::now() + FOLLOW_WITHIN, CellCommand::Cells).await
+    }
+
     /// Opens a feed once a majority has confirmed that this cell is current.
     pub async fn follow(&self, from: FollowFrom) -> Option<OpenedFeed> {
         let deadline = Instant::now() + FOLLOW_WITHIN;
--- a/crates/control-cell/src/actor/publish.rs
+++ b/crates/control-cell/src/actor/publish.rs
@@ -31,6 +31,11 @@
         self.feed.publish(cells_item(index, self.driver.members()));
     }
 
+    /// The cells as this one knows them.
+    pub fn cells(&self) -> FeedItem {
+        cells_item(self.driver.node.log.membership_index(), self.driver.members())
+    }
+
     pub fn publish_trial(&mut self) {
         if let Some(item) = trial_item(self.orders.state()) {
             self.trial.follow(self.orders.state());
--- a/crates/control-cell/src/actor/run.rs
+++ b/crates/control-cell/src/actor/run.rs
@@ -223,6 +223,7 @@
             CellCommand::Outcomes(reports) => self.took_outcomes(reports),
             CellCommand::Call(call, waiting) => return self.called(call, waiting),
             CellCommand::Listed { zone, epoch, engines } => self.listed(zone, epoch, engines),
+            CellCommand::Cells(waiting) => waiting.answer(self.cells()),
             CellCommand::Follow(from, waiting) => {
                 return self.confirm_for(Reader::Follow(from, waiting));
             }
--- a/crates/control-cell/src/follow/mod.rs
+++ b/crates/control-cell/src/follow/mod.rs
@@ -1,6 +1,6 @@
 //! Serves the numbered feed to agents and stores.
 use crate::prelude::*;
-use node_runtime::links::{frame_stream, serve_streams};
+use node_runtime::links::{frame_stream, serve_streams, Wire};
 
 /// How long a follower may take to say what it wants.
 const FIRST: Duration = Duration::from_secs(2);
@@ -13,12 +13,25 @@
     .await
 }
 
+/// What a follower says first, in its time.
+async fn next_message(wire: &mut Wire) -> Option<FollowMsg> {
+    let frame = tokio::time::timeout(FIRST, wire.next()).await.ok()??.ok()?;
+    decode(&frame)
+}
+
 async fn serve_one(s: TcpStream, cell: CellHandle) {
     let mut wire = frame_stream(s);
-    let first = match tokio::time::timeout(FIRST, wire.next()).await {
-        Ok(Some(Ok(b))) => decode::<FollowMsg>(&b),
-        _ => return,
-    };
+    let mut first = next_message(&mut wire).await;
+    if let Some(FollowMsg::AskCells) = first {
+        let Some(cells) = cell.cells().await else {
+            return;
+        };
+        let answer = FeedMsg::Items(vec![Numbered { no: 0, item: cells }]);
+        if wire.send(encode(&answer)).await.is_err() {
+            return;
+        }
+        first = next_message(&mut wire).await;
+    }
     let Some(FollowMsg::Follow { feed, no, topics, patches, zone_changes, holdings, .. }) = first
     else {
         return;
--- a/crates/feed-client/src/link/mod.rs
+++ b/crates/feed-client/src/link/mod.rs
@@ -78,6 +78,7 @@
     let mut place = (0u64, 0u64);
     let mut base = PatchBase::default();
     let mut zones = ZoneSteps::default();
+    let mut asks = settings.topics == Topics::All;
     let mut pause = Backoff::new(Duration::from_millis(40), Duration::from_millis(160));
     let mut feed = Feed.uninitialized_state_machine().init();
     while !out.is_closed() {
@@ -87,6 +88,7 @@
         };
         let addr = feed_addr(&cell, settings.feed_port);
         feed.handle(&FeedEvent::Try);
+        let mut end = LinkEnd::Lost;
         if let Ok(s) = connect(&addr, CONNECT, QUIET).await {
             feed.handle(&FeedEvent::Linked);
             let mut wire = frame_stream(s);
@@ -98,7 +100,12 @@
                 zones: &mut zones,
                 cells: &mut cells,
             };
-            let _ = run_link(&settings, &mut wire, &mut at, &mut feed, &out, &mut status).await;
+            end = match look_for_home(&settings, &mut wire, &mut at, &mut asks).await {
+                Some(LinkEnd::GoesHome) => LinkEnd::GoesHome,
+                _ => run_link(&settings, &mut wire, &mut at, &mut feed, &out, &mut status)
+                    .await
+                    .unwrap_or(LinkEnd::Lost),
+            };
         }
         let followed = matches!(feed.state(), FeedState::Following {});
         feed.handle(&FeedEvent::Lost);
@@ -109,6 +116,9 @@
             }
         }
         cells.ended(followed);
+        if end == LinkEnd::GoesHome {
+            continue;
+        }
         tokio::select! {
             _ = tokio::time::sleep(pause.next_pause()) => {}
             _ = seeds.changed() => {}
@@ -116,6 +126,42 @@
     }
 }
 
+/// How a link ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LinkEnd {
+    /// It is over, or didn't come about.
+    Lost,
+    /// It was left for a cell of the follower's own zone.
+    GoesHome,
+}
+
+/// Asks a seed for the cells and their zones, where these aren't known: else a snapshot would be taken from
+/// whichever cell the seeds lead to, in most cases in another zone. `asks` becomes false once a cell doesn't
+/// answer, as those of older versions don't.
+async fn look_for_home(
+    settings: &FollowSettings,
+    wire: &mut Wire,
+    at: &mut LinkAt<'_>,
+    asks: &mut bool,
+) -> Option<LinkEnd> {
+    if !*asks || !at.cells.needs_zones() {
+        return None;
+    }
+    *asks = false;
+    wire.send(encode(&FollowMsg::AskCells)).await.ok()?;
+    let answer = tokio::time::timeout(settings.silence, wire.next()).await.ok()??.ok()?;
+    let FeedMsg::Items(items) = decode(&answer)? else {
+        return None;
+    };
+    *asks = true;
+    for n in items {
+        if let FeedItem::Cells { index, addrs, zones } = &n.item {
+            at.cells.learn(*index, addrs, zones);
+        }
+    }
+    at.cells.goes_home(at.cell, at.began.elapsed()).then_some(LinkEnd::GoesHome)
+}
+
 /// Where a link stands: the cell, the place in its feed, and the other cells.
 struct LinkAt<'a> {
     cell: &'a str,
@@ -146,7 +192,7 @@
     feed: &mut InitializedStateMachine<Feed>,
     out: &mpsc::Sender<FeedUpdate>,
     status: &mut watch::Receiver<Option<W>>,
-) -> Option<()> {
+) -> Option<LinkEnd> {
     let hello = FollowMsg::Follow {
         name: settings.name.clone(),
         feed: at.place.0,
@@ -228,7 +274,7 @@
                         }
                         let follows = matches!(feed.state(), FeedState::Following {});
                         if follows && at.cells.goes_home(at.cell, at.began.elapsed()) {
-                            return None;
+                            return Some(LinkEnd::GoesHome);
                         }
                     }
                 }
--- a/crates/feed-client/src/rank/mod.rs
+++ b/crates/feed-client/src/rank/mod.rs
@@ -53,6 +53,11 @@
         self.index = index;
     }
 
+    /// Nothing is known of the cells but addresses, and there is a zone to look for.
+    pub fn needs_zones(&self) -> bool {
+        !self.zone.is_empty() && self.cells.iter().all(|c| c.zone.is_empty())
+    }
+
     fn is_home(&self, addr: &str) -> bool {
         !self.zone.is_empty() && self.cells.iter().any(|c| c.addr == addr && c.zone == self.zone)
     }
--- a/crates/internal-protocol/src/feed.rs
+++ b/crates/internal-protocol/src/feed.rs
@@ -125,6 +125,10 @@
 /// What a follower says to the cell that it follows.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum FollowMsg {
+    /// Which cells there are, and in which zones, as far as this one knows without asking the others. Sent
+    /// before `Follow` by one who knows no more than its seeds, so that it takes its snapshot from the cell
+    /// that it will stay with. Answered by one `Items` with `Cells`.
+    AskCells,
     /// Opens the feed: `feed` and `no` name the place to go on from, when the cell still has it.
     Follow {
         /// The follower's node name.
--- a/crates/request-proxy/src/sending/pool.rs
+++ b/crates/request-proxy/src/sending/pool.rs
@@ -95,7 +95,8 @@
         }
         l.wire.rest();
         let keep = match announced {
-            Some(t) => t.mul_f64(0.7),
+            // The engine closes it a little later: its close, if it has come, is seen before a byte goes out.
+            Some(t) => t.mul_f64(0.9),
             None => MOST_KEEP,
         };
         let mut rows = locked(&self.rows);
