Consensus: what waits for a majority is bounded in bytes

Cause: a leader appended whatever it was asked for; while its followers stood still, orders of up to 4 MB piled up in its log (215 MB were seen at a peak, of 256 MB).

A single larger entry is taken where none waits.

--- a/crates/consensus/src/core/mod.rs
+++ b/crates/consensus/src/core/mod.rs
@@ -20,4 +20,4 @@
 pub use node::ConsensusNode;
 pub use progress::FollowerStatus;
 pub use role::{Role, RoleEvent, RoleState};
-pub use types::{Effect, Event, HardState, Tuning};
+pub use types::{Effect, Event, HardState, ProposalRefused, Tuning};
--- a/crates/consensus/src/core/proposals.rs
+++ b/crates/consensus/src/core/proposals.rs
@@ -14,19 +14,40 @@
     }
 
     pub(super) fn propose(&mut self, token: u64, body: Body, now: Duration) {
-        let body = match body {
-            _ if !self.leads() => None,
-            Body::Membership(target) => self.change_towards(target).map(Body::Membership),
-            other => Some(other),
-        };
-        let at = body.map(|b| self.place(b));
+        let at = self.admit(body).map(|body| self.place(body));
         self.out.push(Effect::Appended { token, at });
-        if at.is_some() {
+        if at.is_ok() {
             self.send_all_logs(now);
             self.count(now);
         }
     }
 
+    /// The entry to append, unless this cell can't take the proposal.
+    fn admit(&self, body: Body) -> Result<Body, ProposalRefused> {
+        if !self.leads() {
+            return Err(ProposalRefused::NotLeading);
+        }
+        match body {
+            Body::Membership(target) => self
+                .change_towards(target)
+                .map(Body::Membership)
+                .ok_or(ProposalRefused::MembershipNotReady),
+            other => self.has_room_for(&other).map(|()| other),
+        }
+    }
+
+    /// While no majority answers, a leader's log would take whatever it is asked for until its memory is
+    /// full; callers are turned away instead and come again.
+    fn has_room_for(&self, body: &Body) -> Result<(), ProposalRefused> {
+        let waiting = self.log.from(self.commit + 1).map(|entry| entry.body.size());
+        let uncommitted: usize = waiting.sum();
+        let bound = self.tuning.most_uncommitted;
+        match uncommitted == 0 || uncommitted + body.size() <= bound {
+            true => Ok(()),
+            false => Err(ProposalRefused::Backlog { uncommitted, bound }),
+        }
+    }
+
     /// The entry with which a change to `target` begins: a joint one where voters change. None while
     /// another change is under way, before the first entry of this term is committed, or where a new
     /// voter is no learner that has caught up.
--- a/crates/consensus/src/core/types.rs
+++ b/crates/consensus/src/core/types.rs
@@ -40,6 +40,8 @@
     pub retained_entries: usize,
     /// Their bytes.
     pub retained_bytes: usize,
+    /// Bytes of entries that may wait for a majority; a single larger entry is taken when none waits.
+    pub most_uncommitted: usize,
     /// A learner this many entries behind, or fewer, has caught up.
     pub caught_up_lag: u64,
 }
@@ -59,6 +61,7 @@
             slowest_link: 1 << 20,
             retained_entries: 512,
             retained_bytes: 8 << 20,
+            most_uncommitted: 16 << 20,
             caught_up_lag: 8,
         }
     }
@@ -79,6 +82,22 @@
     }
 }
 
+/// Why a proposal was not appended. Nothing of it will ever be agreed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProposalRefused {
+    /// This cell doesn't lead.
+    NotLeading,
+    /// The members can't be changed so now: another change is under way, or a new voter has not caught up.
+    MembershipNotReady,
+    /// Too much is in the log that no majority has answered for.
+    Backlog {
+        /// Bytes of entries that aren't committed.
+        uncommitted: usize,
+        /// The most there may be, with this proposal.
+        bound: usize,
+    },
+}
+
 /// What a consensus node is given.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -143,12 +162,12 @@
     Apply(Entry),
     /// Replace the state by this snapshot's.
     Restore(Snapshot),
-    /// A proposal's place in the log, or none when this cell can't take it.
+    /// A proposal's position in the log, or why this cell can't take it.
     Appended {
         /// The proposal's.
         token: u64,
-        /// Its place.
-        at: Option<LogPosition>,
+        /// Its position.
+        at: Result<LogPosition, ProposalRefused>,
     },
     /// A read may be served once this index is applied; none when it can't be confirmed.
     Confirmed {
--- a/crates/consensus/src/prelude.rs
+++ b/crates/consensus/src/prelude.rs
@@ -1,6 +1,7 @@
 //! The one module every file of this package imports.
 pub use crate::core::{
-    ConsensusNode, Effect, Event, FollowerStatus, HardState, RoleState, TermLog, Tuning,
+    ConsensusNode, Effect, Event, FollowerStatus, HardState, ProposalRefused, RoleState, TermLog,
+    Tuning,
 };
 pub use crate::store::{ConsensusDisk, SnapshotWrite};
 pub use internal_protocol::cells::{
--- a/crates/consensus/tests/model/mod.rs
+++ b/crates/consensus/tests/model/mod.rs
@@ -43,6 +43,8 @@
 pub struct World {
     pub nodes: BTreeMap<u64, Node>,
     pub flight: Vec<Flight>,
+    /// Proposals that weren't appended, and why.
+    pub refused: BTreeMap<u64, ProposalRefused>,
     /// Links that carry nothing, by direction.
     pub cuts: BTreeSet<(u64, u64)>,
     pub now: Duration,
@@ -118,6 +120,7 @@
             confirmed: BTreeMap::new(),
             token: 0,
             sent: Vec::new(),
+            refused: BTreeMap::new(),
             record: false,
         };
         for id in ids {
@@ -180,11 +183,10 @@
                 node.state = state;
             }
             Effect::RoleIs(role) => self.check_role(id, &role),
-            Effect::Appended { token, at } => {
-                if let Some(at) = at {
-                    self.proposed.insert(token, (id, at));
-                }
-            }
+            Effect::Appended { token, at } => match at {
+                Ok(at) => drop(self.proposed.insert(token, (id, at))),
+                Err(why) => drop(self.refused.insert(token, why)),
+            },
             Effect::Confirmed { token, index } => {
                 let before = self.reads.remove(&token).unwrap_or(0);
                 assert!(index.is_none_or(|i| i >= before), "a read older than a confirmed write");
--- a/crates/control-cell/src/orders/pending.rs
+++ b/crates/control-cell/src/orders/pending.rs
@@ -38,9 +38,9 @@
     }
 
     /// Notes an order's place in the log; gives the reply back when there is none.
-    pub fn appended(&mut self, token: u64, at: Option<LogPosition>) -> Option<R> {
+    pub fn appended(&mut self, token: u64, at: Result<LogPosition, ProposalRefused>) -> Option<R> {
         let reply = self.proposed.remove(&token)?;
-        let Some(LogPosition { index, term }) = at else {
+        let Ok(LogPosition { index, term }) = at else {
             return Some(reply);
         };
         self.placed.insert(index, LoggedOrder { term, reply });
--- a/crates/control-cell/src/orders/tracker.rs
+++ b/crates/control-cell/src/orders/tracker.rs
@@ -93,6 +93,11 @@
             Effect::Apply(entry) => self.apply(entry),
             Effect::Restore(snap) => self.restore(&snap),
             Effect::Appended { token, at } => {
+                if let Err(ProposalRefused::Backlog { uncommitted, bound }) = at {
+                    warn!("an order is turned away: no majority answers for the log", kv: {
+                        uncommitted_bytes = uncommitted, bound_bytes = bound
+                    });
+                }
                 let refused = self.orders.appended(token, at);
                 Ok(refused.into_iter().map(unclear).collect())
             }
--- a/crates/control-cell/src/prelude.rs
+++ b/crates/control-cell/src/prelude.rs
@@ -12,7 +12,7 @@
 pub use crate::orders::{ChangedPart, OrderEvent, OrderTracker, UnreadableState};
 pub use crate::state::{order_digest, CellState, ConfirmedOrders};
 pub use consensus::prelude::{
-    ConsensusDisk, ConsensusNode, Effect, Event, HardState, SnapshotWrite, Tuning,
+    ConsensusDisk, ConsensusNode, Effect, Event, HardState, ProposalRefused, SnapshotWrite, Tuning,
 };
 pub use external_api::prelude::*;
 pub use internal_protocol::cells::{
--- a/crates/control-cell/tests/orders.rs
+++ b/crates/control-cell/tests/orders.rs
@@ -28,7 +28,7 @@
     let mut d = desk();
     let token = d.order(Some("order"));
     assert_eq!(
-        d.take(Effect::Appended { token, at: Some(LogPosition { index: 1, term: 3 }) }),
+        d.take(Effect::Appended { token, at: Ok(LogPosition { index: 1, term: 3 }) }),
         Ok(vec![])
     );
     let taken = OrderEvent::Changed(ChangedPart::Config);
@@ -36,7 +36,7 @@
     // The entry that was applied at its index is another's: nobody here knows what became of it.
     let token = d.order(Some("order"));
     assert_eq!(
-        d.take(Effect::Appended { token, at: Some(LogPosition { index: 2, term: 3 }) }),
+        d.take(Effect::Appended { token, at: Ok(LogPosition { index: 2, term: 3 }) }),
         Ok(vec![])
     );
     let taken = OrderEvent::Changed(ChangedPart::Config);
@@ -48,7 +48,7 @@
     let mut d = desk();
     let placed = d.order(Some("order"));
     assert_eq!(
-        d.take(Effect::Appended { token: placed, at: Some(LogPosition { index: 1, term: 3 }) }),
+        d.take(Effect::Appended { token: placed, at: Ok(LogPosition { index: 1, term: 3 }) }),
         Ok(vec![])
     );
     d.order(Some("order"));
