Feed: heartbeats and silences follow contactMs and catchUpS

Cause (left behind): a follower left a silent cell after one second and a store repeated its report each 0.4 s whatever the deployment, so a store whose cell died was silent for up to 1.6 s beside a replace_after of 1.23 s; and 258 agents were woken 2.5 times a second by heartbeats.

Change: FeedBounds derives heartbeat, silence, connection time and repeat from catchUpS for stores and from contactMs for agents; the constants are gone.

The store schedules keep their older, longer waits (LINK_AGAIN), which are on the safe side.

--- a/crates/control-cell/src/actor/duties.rs
+++ b/crates/control-cell/src/actor/duties.rs
@@ -6,7 +6,8 @@
 
 impl Actor {
     pub fn duties(&mut self, now: Instant) -> bool {
-        self.feed.heartbeat(now, self.driver.vouches());
+        let vouches = self.driver.vouches();
+        self.feed.heartbeat(now, vouches, &self.settings.now().bounds);
         self.orders.retain_readers(|r| !r.is_gone());
         for t in self.zones.due(now, self.orders.state(), self.driver.me.id) {
             self.send_change(t.newest(), t);
--- a/crates/control-cell/src/feed/mod.rs
+++ b/crates/control-cell/src/feed/mod.rs
@@ -1,12 +1,12 @@
 //! The feed publisher: the cell's numbered feed and those who follow it.
 use crate::prelude::*;
 use crate::state::TakenConfig;
+use internal_protocol::feed_bounds::FeedBounds;
+use node_runtime::settings::Bounds;
 
 /// Encoded `FeedMsg::Items`.
 pub type FeedReceiver = mpsc::Receiver<Bytes>;
 
-/// How often followers get a heartbeat: this cell still has a majority.
-const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Items kept for followers that come back.
 pub const RETAINED_ITEMS: usize = 64;
 /// Bytes of configurations among them: a few of the largest.
@@ -23,9 +23,12 @@
     followers: Vec<Follower>,
     /// The configuration published last, which the next one is published as a difference to.
     last_config: Option<TakenConfig>,
-    next_heartbeat: Instant,
+    next_heartbeats: [Instant; TOPICS.len()],
 }
 
+/// Followers get heartbeats by what they take.
+const TOPICS: [Topics; 2] = [Topics::All, Topics::Stores];
+
 struct Follower {
     request: FeedRequest,
     frames: mpsc::Sender<Bytes>,
@@ -71,7 +74,7 @@
             recent: VecDeque::new(),
             last_config: None,
             followers: Vec::new(),
-            next_heartbeat: Instant::now(),
+            next_heartbeats: [Instant::now(); TOPICS.len()],
         }
     }
 }
@@ -177,15 +180,22 @@
         OpenedFeed { items: rx, feed: self.id }
     }
 
-    /// Sends followers a heartbeat, or lets them go at once when this cell can't vouch for its state.
-    pub fn heartbeat(&mut self, now: Instant, vouches: bool) {
+    /// Sends followers the heartbeats that are due: this cell still has a majority. Where it can't vouch for
+    /// its state it lets them go at once.
+    pub fn heartbeat(&mut self, now: Instant, vouches: bool, bounds: &Bounds) {
         if !vouches {
             self.followers.clear();
         }
-        if now < self.next_heartbeat || self.followers.is_empty() {
-            return;
+        for (topics, next) in TOPICS.into_iter().zip(&mut self.next_heartbeats) {
+            // The clock of duties is coarse: one that is nearly due goes out now rather than late.
+            if now + DUTY_EVERY / 2 < *next {
+                continue;
+            }
+            *next = now + FeedBounds::from_settings(bounds, topics).heartbeat;
+            let item = Numbered { no: self.no, item: FeedItem::Heartbeat };
+            let frame = encode(&FeedMsg::Items(vec![item]));
+            self.followers
+                .retain(|f| f.request.topics != topics || f.frames.try_send(frame.clone()).is_ok());
         }
-        self.next_heartbeat = now + HEARTBEAT;
-        self.send(&Numbered { no: self.no, item: FeedItem::Heartbeat }, None);
     }
 }
--- a/crates/feed-agent/src/lib.rs
+++ b/crates/feed-agent/src/lib.rs
@@ -20,7 +20,7 @@
     let (tx, rx) = mpsc::channel(256);
     let (outgoing, outgoing_seen) = watch::channel(None);
     let follow =
-        FollowSettings { repeat: REPORT_REPEAT, ..FollowSettings::of_cells_whole(&shared) };
+        FollowSettings { repeat: REPORT_REPEAT, ..FollowSettings::of_cells(&shared, Topics::All) };
     tokio::spawn(follow_cells(follow, tx, outgoing_seen));
     let (open, opens) = mpsc::channel(16);
     let (counted, reports) = mpsc::channel(16);
--- a/crates/feed-client/src/link/mod.rs
+++ b/crates/feed-client/src/link/mod.rs
@@ -22,29 +22,28 @@
     pub topics: Topics,
     /// Silence after which the link moves.
     pub silence: Duration,
+    /// How long a connection may take.
+    pub connect: Duration,
     /// How often this follower's status is sent again when it hasn't changed.
     pub repeat: Duration,
 }
 
 impl FollowSettings {
-    /// Follows the cells that the settings name, and those they tell of, for the store set only.
-    pub fn of_cells(shared: &SharedSettings) -> Self {
+    /// Follows the cells that the settings name, and those they tell of.
+    pub fn of_cells(shared: &SharedSettings, topics: Topics) -> Self {
         let settings = shared.now();
+        let bounds = FeedBounds::from_settings(&settings.bounds, topics);
         FollowSettings {
             name: settings.node_name.clone(),
             seeds: Seeds::FromSettings(shared.clone()),
             feed_port: settings.internal_ports.0 + FEED_PORT,
             zone: settings.zone.clone(),
-            topics: Topics::Stores,
-            silence: Duration::from_millis(1000),
-            repeat: Duration::from_millis(400),
+            topics,
+            silence: bounds.silence,
+            connect: bounds.connect,
+            repeat: bounds.repeat,
         }
     }
-
-    /// The same, for everything.
-    pub fn of_cells_whole(shared: &SharedSettings) -> Self {
-        FollowSettings { topics: Topics::All, ..FollowSettings::of_cells(shared) }
-    }
 }
 
 /// What a link brings its follower.
@@ -56,9 +55,6 @@
     Down,
 }
 
-const CONNECT: Duration = Duration::from_millis(400);
-const QUIET: Duration = Duration::from_millis(1200);
-
 fn feed_addr(cell: &str, port: u16) -> String {
     let ip = cell.rsplit_once(':').map_or(cell, |(h, _)| h);
     format!("{ip}:{port}")
@@ -79,7 +75,7 @@
     let mut base = PatchBase::default();
     let mut zones = ZoneSteps::default();
     let mut asks = settings.topics == Topics::All;
-    let mut pause = Backoff::new(Duration::from_millis(40), Duration::from_millis(160));
+    let mut pause = Backoff::new(RECONNECT_PAUSE / 4, RECONNECT_PAUSE);
     let mut feed = Feed.uninitialized_state_machine().init();
     while !out.is_closed() {
         cells.use_seeds(&seeds.now());
@@ -89,7 +85,7 @@
         let addr = feed_addr(&cell, settings.feed_port);
         feed.handle(&FeedEvent::Try);
         let mut end = LinkEnd::Lost;
-        if let Ok(s) = connect(&addr, CONNECT, QUIET).await {
+        if let Ok(s) = connect(&addr, settings.connect, settings.silence).await {
             feed.handle(&FeedEvent::Linked);
             let mut wire = frame_stream(s);
             let mut at = LinkAt {
--- a/crates/feed-client/src/prelude.rs
+++ b/crates/feed-client/src/prelude.rs
@@ -8,6 +8,7 @@
     EngineEntry, FeedItem, FeedMsg, FollowMsg, Holdings, Numbered, Topics, ZoneChange,
     ZoneChangeOutcome, ZoneTable, ZoneVersion,
 };
+pub use internal_protocol::feed_bounds::{FeedBounds, RECONNECT_PAUSE};
 pub use internal_protocol::patch::Patch;
 pub use internal_protocol::prelude::*;
 pub use internal_protocol::stores::{StoreSet, StoreStatus};
--- a/crates/feed-client/tests/home.rs
+++ b/crates/feed-client/tests/home.rs
@@ -28,6 +28,7 @@
         zone: "a".into(),
         topics: Topics::All,
         silence: Duration::from_secs(5),
+        connect: Duration::from_secs(5),
         repeat: Duration::from_secs(5),
     };
     let (_status, seen) = watch::channel(None::<Vec<NodeReport>>);
--- a/crates/internal-protocol/src/lib.rs
+++ b/crates/internal-protocol/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod cells;
 pub mod feed;
+pub mod feed_bounds;
 pub mod patch;
 pub mod prelude;
 pub mod stores;
--- a/crates/request-proxy/src/app/feed.rs
+++ b/crates/request-proxy/src/app/feed.rs
@@ -13,7 +13,9 @@
         feed_port: settings.internal_ports.0 + AGENT_PORT,
         zone: settings.zone.clone(),
         topics: Topics::All,
+        // The agent is on this machine: its end ends the connection.
         silence: Duration::from_secs(3600),
+        connect: Duration::from_millis(400),
         repeat: Duration::from_secs(3600),
     };
     tokio::spawn(follow_cells(follow, tx, app.trial.reports()));
--- a/crates/turn-store/src/lib.rs
+++ b/crates/turn-store/src/lib.rs
@@ -23,7 +23,7 @@
         TcpListener::bind(&addr).await.map_err(|e| NodeError::Io { what: addr, source: e })?;
     let RunningStore { handle: store, status, mut owner } = actor::start(&shared)?;
     let (tx, mut rx) = mpsc::channel(64);
-    tokio::spawn(follow_cells(FollowSettings::of_cells(&shared), tx, status));
+    tokio::spawn(follow_cells(FollowSettings::of_cells(&shared, Topics::Stores), tx, status));
     let h = store.clone();
     tokio::spawn(async move {
         while let Some(n) = rx.recv().await {
--- a/crates/turn-store/src/prelude.rs
+++ b/crates/turn-store/src/prelude.rs
@@ -4,7 +4,7 @@
 };
 pub use crate::history::{History, SetUpdate};
 pub use crate::tables::{LogRecord, MissingTurn, StoreTables};
-pub use feed_client::prelude::{follow_cells, FeedItem, FeedUpdate, FollowSettings};
+pub use feed_client::prelude::{follow_cells, FeedItem, FeedUpdate, FollowSettings, Topics};
 pub use internal_protocol::prelude::*;
 pub use internal_protocol::stores::*;
 pub use spdlog::info;
