control-cell: reads stand apart from the effects of consensus; the field's names

A renaming and a split, no behaviour changes: carry.rs becomes effects.rs and reads.rs, settle answer_event, due_holders next_zone_holders, ask_to_join request_membership.

--- a/crates/control-cell/src/actor/calls.rs
+++ b/crates/control-cell/src/actor/calls.rs
@@ -1,5 +1,5 @@
 //! Calls of other cells and of the operator's tasks.
-use super::carry::within_call;
+use super::reads::within_call;
 use super::run::{Actor, Order, Reader};
 use crate::prelude::*;
 
--- a/crates/control-cell/src/actor/duties.rs
+++ b/crates/control-cell/src/actor/duties.rs
@@ -17,7 +17,7 @@
         }
         if !self.driver.leads() {
             self.announce_leaving();
-            self.ask_to_join(now);
+            self.request_membership(now);
             self.forward_outcomes(now);
             return true;
         }
@@ -32,7 +32,7 @@
     }
 
     /// A cell that is no member, or hears no leader, asks to be taken in.
-    fn ask_to_join(&mut self, now: Instant) {
+    fn request_membership(&mut self, now: Instant) {
         let bounds = self.membership_bounds();
         if !self.members.join_due(now, &bounds) {
             return;
@@ -71,7 +71,7 @@
         if let Some(next) = self.members.next(&self.driver, &self.policy(), &bounds, now) {
             return self.propose(Body::Membership(next), None);
         }
-        if let Some(holders) = self.due_holders(now) {
+        if let Some(holders) = self.next_zone_holders(now) {
             return self.change(&Change::PutHolders { holders }, None);
         }
         let calm = self.members.led_for(now);
@@ -95,7 +95,7 @@
         CorePolicy { tolerated: self.settings.now().tolerated, regions }
     }
 
-    fn due_holders(&self, now: Instant) -> Option<BTreeMap<String, u64>> {
+    fn next_zone_holders(&self, now: Instant) -> Option<BTreeMap<String, u64>> {
         let zones: BTreeSet<String> = self.settings.now().zones.keys().cloned().collect();
         let holder_silent = self.membership_bounds().holder_silent;
         let alive = |id: u64| {
--- a/crates/control-cell/src/actor/carry.rs
+++ b/crates/control-cell/src/actor/effects.rs
@@ -1,32 +1,30 @@
-//! Carries out what the agreement decides, after it was saved.
+//! Carries out the effects of consensus, after what they rest on was saved.
 use super::run::{Actor, Order, Reader};
-use super::stores::{retire_step, RetireStep};
-use super::trial::TrialStep;
 use crate::prelude::*;
 
-type Settled = OrderEvent<Order, Reader>;
+type ActorEvent = OrderEvent<Order, Reader>;
 
 impl Actor {
-    /// Hands an event to the agreement and carries out what follows. What is asked of the agreement
-    /// meanwhile comes after, so that entries are applied in their order. False when the disk failed or
+    /// Hands an event to the consensus node and carries out its effects. Events that come up
+    /// meanwhile come after, so that entries are applied in their order. False when the disk failed or
     /// what was agreed on can't be read: then nothing may be answered any more.
     pub fn agree_on(&mut self, ev: Event) -> bool {
         self.due.push_back(ev);
-        if self.carrying {
+        if self.carrying_out {
             return true;
         }
-        self.carrying = true;
+        self.carrying_out = true;
         while let Some(ev) = self.due.pop_front() {
-            if let Err(e) = self.carry(ev) {
+            if let Err(e) = self.handle_event(ev) {
                 spdlog::error!("{}", e);
                 return false;
             }
         }
-        self.carrying = false;
+        self.carrying_out = false;
         true
     }
 
-    fn carry(&mut self, ev: Event) -> NodeResult<()> {
+    fn handle_event(&mut self, ev: Event) -> NodeResult<()> {
         let effects = self.driver.handle(ev)?;
         self.write_due_snapshot();
         if let Some(l) = self.driver.node.leader.filter(|_| !self.driver.leads()) {
@@ -51,7 +49,7 @@
             }
             other => {
                 let events = self.orders.take(other).map_err(|e| unreadable(&e))?;
-                events.into_iter().for_each(|e| self.settle(e));
+                events.into_iter().for_each(|e| self.answer_event(e));
             }
         }
         Ok(())
@@ -86,7 +84,7 @@
             return;
         }
         let events = self.orders.stepped_down();
-        events.into_iter().for_each(|e| self.settle(e));
+        events.into_iter().for_each(|e| self.answer_event(e));
     }
 
     fn send(&mut self, to: u64, msg: Msg) {
@@ -118,7 +116,8 @@
         self.propose(Body::Command(encode_bytes(change)), order)
     }
 
-    pub(super) fn settle(&mut self, event: Settled) {
+    /// Answers whoever waited for an event, or publishes what it changed.
+    pub(super) fn answer_event(&mut self, event: ActorEvent) {
         match event {
             OrderEvent::Order { waiting, outcome } => waiting.answer(outcome),
             OrderEvent::Read { reader, index: Some(index) } => self.serve_reader(reader, index),
@@ -131,78 +130,6 @@
             OrderEvent::Restored => self.publish_state(),
         }
     }
-
-    /// Asks a majority whether this cell's view is current.
-    pub fn confirm_for(&mut self, reader: Reader) -> bool {
-        if self.driver.leads() {
-            let token = self.orders.read(reader);
-            return self.agree_on(Event::Confirm { token });
-        }
-        let Some(addr) = self.leader_addr() else {
-            reader.refuse();
-            return true;
-        };
-        let within = reader.remaining();
-        let token = self.orders.read(reader);
-        let c = self.links.caller(&addr);
-        let q = self.queue.clone();
-        tokio::spawn(async move {
-            let call = within_call(within, CellCall::ReadIndex);
-            let index = match c.call::<_, CellReply>(&call, within).await {
-                Ok(CellReply::Index(i)) => Some(i),
-                _ => None,
-            };
-            let _ = q.send(CellCommand::ForwardConfirmed { token, index }).await;
-        });
-        true
-    }
-
-    /// Serves a read whose index is applied and was confirmed after the read began.
-    fn serve_reader(&mut self, reader: Reader, index: u64) {
-        match reader {
-            Reader::Config(w) => {
-                let config = self.orders.state().config.as_ref();
-                let body = config.map(|c| Bytes::from(c.body.to_vec()));
-                w.answer(Some(body));
-            }
-            Reader::Follow(from, w) => {
-                let opened = self.open_feed(from);
-                w.answer(Some(opened));
-            }
-            Reader::Index(w) => w.answer(CellReply::Index(index)),
-            Reader::Order { change, waiting } => match self.orders.state().decided(&change) {
-                Some(outcome) => waiting.answer(CellReply::Outcome(outcome)),
-                None => drop(self.change(&change, Some(Order::Plain(waiting)))),
-            },
-            Reader::Retire { store, query_only, waiting } => {
-                self.retire(&store, query_only, waiting)
-            }
-            Reader::Trial { ask, waiting } => self.asked_of_trial(ask, waiting),
-        }
-    }
-
-    fn retire(&mut self, store: &str, query_only: bool, waiting: Waiting<CellReply>) {
-        match retire_step(&self.orders.state().stores, store, query_only) {
-            RetireStep::Answer(state) => waiting.answer(CellReply::Retire(state)),
-            RetireStep::Propose(change) => {
-                self.change(&change, Some(Order::Retire(waiting)));
-            }
-        }
-    }
-
-    fn asked_of_trial(&mut self, ask: TrialRequest, waiting: Waiting<CellReply>) {
-        match self.trial.step(self.orders.state(), ask) {
-            TrialStep::Answer(answer) => waiting.answer(answer),
-            TrialStep::Propose(change) => {
-                self.change(&change, Some(Order::Plain(waiting)));
-            }
-        }
-    }
-}
-
-/// A call to be answered while its caller waits.
-pub(super) fn within_call(within: Duration, call: CellCall) -> CellCall {
-    CellCall::Within { ms: within.as_millis() as u64, call: Box::new(call) }
 }
 
 fn encode_bytes<T: Serialize>(value: &T) -> ByteBuf {
--- a/crates/control-cell/src/actor/mod.rs
+++ b/crates/control-cell/src/actor/mod.rs
@@ -1,15 +1,16 @@
 //! The one owner of a cell's tables, which works through a queue of commands. `run` composes the parts;
 //! no part knows the actor.
 mod calls;
-mod carry;
 mod driver;
 mod duties;
+mod effects;
 mod handle;
 mod items;
 mod leaving;
 mod links;
 mod membership;
 mod publish;
+mod reads;
 mod run;
 mod status;
 mod stores;
--- a/crates/control-cell/src/actor/run.rs
+++ b/crates/control-cell/src/actor/run.rs
@@ -134,7 +134,7 @@
     /// What the agreement is yet to be asked, in order.
     pub due: VecDeque<Event>,
     /// An effect of the agreement is being carried out.
-    pub carrying: bool,
+    pub carrying_out: bool,
     pub orders: OrderTracker<Order, Reader>,
     pub links: CellLinks,
     pub feed: FeedLog,
@@ -158,7 +158,7 @@
             orders: OrderTracker::new(state, driver.node.applied),
             driver,
             due: VecDeque::new(),
-            carrying: false,
+            carrying_out: false,
             links: CellLinks::default(),
             feed: FeedLog::default(),
             zones: ZoneTables::new(starts, owned, now),
@@ -230,7 +230,7 @@
             CellCommand::ReadConfig(waiting) => return self.confirm_for(Reader::Config(waiting)),
             CellCommand::ForwardConfirmed { token, index } => {
                 let events = self.orders.confirmed(token, index);
-                events.into_iter().for_each(|e| self.settle(e));
+                events.into_iter().for_each(|e| self.answer_event(e));
             }
             CellCommand::SnapshotWritten(write) => return self.snapshot_written(write),
             CellCommand::Leave(done) => return self.leave(done),
--- a/crates/control-cell/tests/core_schedules.rs
+++ b/crates/control-cell/tests/core_schedules.rs
@@ -252,7 +252,7 @@
     }
 
     /// Cells outside the membership, or without a leader, ask for an index and join with it.
-    fn ask_to_join(&mut self) {
+    fn request_membership(&mut self) {
         let now = self.world.now;
         let Some(leader) = self.world.leader() else { return };
         for i in 0..self.machines.len() {
@@ -370,7 +370,7 @@
         self.end_as_planned();
         self.world.tick_all();
         self.world.deliver_all();
-        self.ask_to_join();
+        self.request_membership();
         self.world.deliver_all();
         if self.steps.is_multiple_of(self.duty_steps) {
             self.announce_leaving();
