--- a/crates/feed-client/src/rank/mod.rs
+++ b/crates/feed-client/src/rank/mod.rs
@@ -5,7 +5,7 @@
 const LEAST_PAUSE: Duration = Duration::from_secs(5);
 const MOST_PAUSE: Duration = Duration::from_secs(80);
 
-struct ToldCell {
+struct ListedCell {
     addr: String,
     zone: String,
 }
@@ -18,7 +18,7 @@
     zone: String,
     seeds: Vec<String>,
     index: u64,
-    cells: Vec<ToldCell>,
+    cells: Vec<ListedCell>,
     turn: usize,
     /// The link that ended last was one of use.
     followed: bool,
@@ -48,7 +48,7 @@
             return;
         }
         let zone = |i: usize| zones.get(i).cloned().unwrap_or_default();
-        let cell = |(i, addr): (usize, &String)| ToldCell { addr: addr.clone(), zone: zone(i) };
+        let cell = |(i, addr): (usize, &String)| ListedCell { addr: addr.clone(), zone: zone(i) };
         self.cells = addrs.iter().enumerate().map(cell).collect();
         self.index = index;
     }
