--- a/crates/feed-agent/src/lib.rs
+++ b/crates/feed-agent/src/lib.rs
@@ -1,7 +1,7 @@
 //! The agent beside a proxy: keeps the link to the cells and feeds the proxy over loopback.
 #![deny(missing_docs)]
 
-pub mod keep;
+pub mod owner;
 pub mod prelude;
 pub mod serve;
 
@@ -30,12 +30,12 @@
     let (leave, leaving) = watch::channel(false);
     tokio::spawn(async move {
         term.recv().await;
-        // The proxy beside it gets the same signal and finishes its answers: news keep coming until
+        // The proxy beside it gets the same signal and finishes its answers: updates keep coming until
         // it has gone.
         tokio::time::sleep(Duration::from_millis(500)).await;
         let _ = leave.send(true);
         tokio::time::sleep(shared.now().bounds.grace).await;
     });
-    keep::keep(Keeper::new(outgoing), rx, opens, reports, leaving).await;
+    owner::run_owner(FeedOwner::new(outgoing), rx, opens, reports, leaving).await;
     Ok(())
 }
--- a/crates/feed-agent/src/keep/mod.rs
+++ b/crates/feed-agent/src/owner/mod.rs
@@ -9,7 +9,7 @@
 
 /// Invariants: numbers grow by one an item; a proxy that doesn't keep up is let go and begins anew;
 /// `reports` are of the trial that runs, the newest of each life, oldest life first.
-pub struct Keeper {
+pub struct FeedOwner {
     /// The newest of everything that the cells told.
     pub view: FeedView,
     /// The number of the newest item.
@@ -21,10 +21,10 @@
     outgoing: watch::Sender<Option<Vec<NodeReport>>>,
 }
 
-impl Keeper {
+impl FeedOwner {
     /// `outgoing` is what the cell is sent.
     pub fn new(outgoing: watch::Sender<Option<Vec<NodeReport>>>) -> Self {
-        Keeper {
+        FeedOwner {
             view: FeedView::default(),
             no: 0,
             proxies: Vec::new(),
@@ -91,9 +91,9 @@
 
 /// Keeps the view until `leaving` says so and the proxies that were fed by then have gone. A proxy that
 /// starts meanwhile is fed too, but doesn't hold the agent: it goes on with the agent's successor.
-pub async fn keep(
-    mut k: Keeper,
-    mut news: mpsc::Receiver<FeedUpdate>,
+pub async fn run_owner(
+    mut k: FeedOwner,
+    mut updates: mpsc::Receiver<FeedUpdate>,
     mut opens: mpsc::Receiver<Opened>,
     mut reports: mpsc::Receiver<NodeReport>,
     mut leaving: watch::Receiver<bool>,
@@ -118,7 +118,7 @@
                     return;
                 }
             }
-            n = news.recv() => match n {
+            update = updates.recv() => match update {
                 Some(FeedUpdate::Items(items)) => k.take(items),
                 Some(FeedUpdate::Down) => {}
                 None => return,
--- a/crates/feed-agent/tests/keeper.rs
+++ b/crates/feed-agent/tests/owner.rs
@@ -1,15 +1,15 @@
 //! What the agent keeps and tells, both ways.
-use feed_agent::{keep, prelude::*};
+use feed_agent::{owner, prelude::*};
 use routing_trial::prelude::{check_spec, Evidence, NodeReport, TrialRecord, Verdict};
 
-fn keeper() -> (Keeper, watch::Receiver<Option<Vec<NodeReport>>>) {
+fn feed_owner() -> (FeedOwner, watch::Receiver<Option<Vec<NodeReport>>>) {
     let (tx, rx) = watch::channel(None);
-    (Keeper::new(tx), rx)
+    (FeedOwner::new(tx), rx)
 }
 
 #[test]
 fn a_proxy_is_told_current_only_after_a_cell_said_so() {
-    let mut k = keeper().0;
+    let mut k = feed_owner().0;
     let mut early = k.open();
     let first = early.try_recv().unwrap();
     assert!(!first.iter().any(|n| n.item == FeedItem::Current));
@@ -35,7 +35,7 @@
 
 #[test]
 fn outcomes_are_told_only_while_their_trial_runs_the_newest_of_each_life() {
-    let (mut k, word) = keeper();
+    let (mut k, word) = feed_owner();
     let t = trial();
     let key = t.key();
     k.count(report(key, 1, 1));
@@ -63,11 +63,11 @@
 /// hold the agent, and is fed meanwhile.
 #[tokio::test(start_paused = true)]
 async fn a_leaving_agent_stays_for_the_proxies_that_leave_with_it() {
-    let (news, from_cells) = mpsc::channel(8);
+    let (updates, from_cells) = mpsc::channel(8);
     let (open, opens) = mpsc::channel(8);
     let (_counted, reports) = mpsc::channel(8);
     let (leave, leaving) = watch::channel(false);
-    let kept = tokio::spawn(keep::keep(keeper().0, from_cells, opens, reports, leaving));
+    let kept = tokio::spawn(owner::run_owner(feed_owner().0, from_cells, opens, reports, leaving));
     let ask = async || {
         let (reply, fed) = oneshot::channel();
         open.send(reply).await.unwrap();
@@ -79,7 +79,7 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     let mut new = ask().await;
     assert!(new.recv().await.is_some(), "its snapshot");
-    news.send(FeedUpdate::Items(vec![FeedItem::Current])).await.unwrap();
+    updates.send(FeedUpdate::Items(vec![FeedItem::Current])).await.unwrap();
     assert_eq!(new.recv().await.unwrap()[0].item, FeedItem::Current);
     assert!(!kept.is_finished(), "the old proxy is still there");
     drop(old);
