--- a/crates/session-index/tests/connections.rs
+++ b/crates/session-index/tests/connections.rs
@@ -57,7 +57,7 @@
 fn turn(session: &str, last: &str) -> Ask {
     let parts = ["p", last].map(|id| Part { id, tokens: 1000 });
     Ask {
-        blocks: chain_blocks("m", parts.into_iter()),
+        blocks: chain_blocks("m", parts),
         session: Some(session.into()),
         prompt_tokens: 2000,
         most_out: 100,
