--- a/crates/consensus/src/core/follow.rs
+++ b/crates/consensus/src/core/follow.rs
@@ -1,17 +1,10 @@
 //! What a follower does with its leader's messages, and the log's end at the commit.
+use super::leader::LeaderHeartbeat;
 use super::node::ConsensusNode;
 use super::role::RoleEvent;
 use super::types::Effect;
 use crate::prelude::*;
 
-/// The fields of a leader's heartbeat.
-pub(super) struct LeaderHeartbeat {
-    pub term: u64,
-    pub commit: u64,
-    pub committed: u64,
-    pub round: u64,
-}
-
 impl ConsensusNode {
     /// True when `from` leads this term; answers an outdated leader.
     pub(super) fn follows(&mut self, from: u64, term: u64, now: Duration) -> bool {
--- a/crates/consensus/src/core/leader.rs
+++ b/crates/consensus/src/core/leader.rs
@@ -4,6 +4,14 @@
 use super::types::Tuning;
 use crate::prelude::*;
 
+/// The fields of a leader's heartbeat.
+pub(super) struct LeaderHeartbeat {
+    pub term: u64,
+    pub commit: u64,
+    pub committed: u64,
+    pub round: u64,
+}
+
 /// Rounds older than this count as unanswered.
 const RETAINED_ROUNDS: usize = 256;
 
--- a/crates/consensus/src/core/node.rs
+++ b/crates/consensus/src/core/node.rs
@@ -1,7 +1,6 @@
 //! The state machine of one cell.
-use super::follow::LeaderHeartbeat;
 use super::incoming::IncomingSnapshot;
-use super::leader::LeaderState;
+use super::leader::{LeaderHeartbeat, LeaderState};
 use super::log::TermLog;
 use super::progress::FollowerStatus;
 use super::role::{Role, RoleEvent, RoleState};
--- a/crates/internal-protocol/src/stores/history.rs
+++ b/crates/internal-protocol/src/stores/history.rs
@@ -5,17 +5,9 @@
 //! history; what was written under each placement since lies with a majority of that one's group.
 use super::placement::Placement;
 use super::set::StoreSet;
+use super::span::VersionSpan;
 use crate::prelude::*;
 
-/// Versions of the store set from one to another, both included.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VersionSpan {
-    /// The first of them.
-    pub from: u64,
-    /// The last of them.
-    pub to: u64,
-}
-
 /// Stores that have transferred all they hold, each with the span in which it was caught up.
 pub type Transfers = BTreeMap<u64, Option<VersionSpan>>;
 
--- a/crates/internal-protocol/src/stores/mod.rs
+++ b/crates/internal-protocol/src/stores/mod.rs
@@ -2,10 +2,12 @@
 mod history;
 mod placement;
 mod set;
+mod span;
 
-pub use history::{Transfers, VersionSpan};
+pub use history::Transfers;
 pub use placement::{PlacedStore, Placement};
 pub use set::{Retirement, StoreEntry, StoreSet, StoreState, StoreStatus};
+pub use span::VersionSpan;
 
 use crate::prelude::*;
 
--- a/crates/internal-protocol/src/stores/set.rs
+++ b/crates/internal-protocol/src/stores/set.rs
@@ -2,8 +2,8 @@
 //!
 //! A program's group has `2T + 1` stores (T: what may be lost at once); what is written to a majority
 //! of it and what a majority of it says meet in one store at the least.
-use super::history::VersionSpan;
 use super::placement::{PlacedStore, Placement};
+use super::span::VersionSpan;
 use crate::prelude::*;
 
 /// What a store of the set is there for.
