--- a/crates/control-cell/src/feed/mod.rs
+++ b/crates/control-cell/src/feed/mod.rs
@@ -34,6 +34,13 @@
     frames: mpsc::Sender<Bytes>,
 }
 
+impl Follower {
+    /// It reads whole tables of zones only.
+    fn is_older(&self) -> bool {
+        !self.request.zone_changes
+    }
+}
+
 /// What a follower takes.
 #[derive(Debug, Clone, Copy)]
 pub struct FeedRequest {
@@ -102,8 +109,9 @@
 
     /// Publishes what has changed of a zone; followers that don't read changes are sent the whole table.
     pub fn publish_zone_change(&mut self, change: ZoneChange, table: &ZoneTable) {
-        let whole = FeedItem::Zone(table.clone());
-        self.publish_either(FeedItem::ZoneChange(change), Some(whole));
+        let has_older = self.followers.iter().any(Follower::is_older);
+        let whole = has_older.then(|| FeedItem::Zone(table.clone()));
+        self.publish_either(FeedItem::ZoneChange(change), whole);
     }
 
     fn publish_either(&mut self, item: FeedItem, whole: Option<FeedItem>) {
@@ -129,14 +137,12 @@
         }
         let frame_of = |n: &Numbered| encode(&FeedMsg::Items(vec![n.clone()]));
         let frame = frame_of(n);
-        let is_older = |f: &Follower| !f.request.zone_changes;
-        let whole =
-            whole.filter(|_| self.followers.iter().any(is_older)).map_or(frame.clone(), frame_of);
+        let whole = whole.map_or(frame.clone(), frame_of);
         let patch = matches!(n.item, FeedItem::ConfigPatch { .. });
         self.followers.retain(|f| match n.item.is_of(f.request.topics) {
             // One that reads no patches is let go, and begins anew from a snapshot.
             true if patch && !f.request.patches => false,
-            true if is_older(f) => f.frames.try_send(whole.clone()).is_ok(),
+            true if f.is_older() => f.frames.try_send(whole.clone()).is_ok(),
             true => f.frames.try_send(frame.clone()).is_ok(),
             false => !f.frames.is_closed(),
         });
