Read again: a list's change is computed once, one way to frame an item, one set of bounds for tests

ZoneTables::listed computed the change to see whether there was news, and take computed it again; both now share keep. open_feed uses cells(); the feed frames an item in one place and makes no heartbeat for nobody; look_for_home's answer is taken as it is. The tests' four copies of a deployment's bounds are one; assertions are the same.

--- a/crates/control-cell/src/actor/publish.rs
+++ b/crates/control-cell/src/actor/publish.rs
@@ -48,13 +48,14 @@
     }
 
     pub fn open_feed(&mut self, from: FollowFrom) -> OpenedFeed {
-        let Actor { orders, driver, zones, .. } = self;
+        let cells = self.cells();
+        let Actor { orders, zones, .. } = self;
         let state = orders.state();
         self.feed.open(from, || {
             let mut items: Vec<FeedItem> = Vec::new();
             items.extend(config_item(state));
             items.extend(stores_item(state));
-            items.push(cells_item(driver.node.log.membership_index(), driver.members()));
+            items.push(cells);
             items.extend(trial_item(state));
             items.extend(zones.tables().cloned().map(FeedItem::Zone));
             items
@@ -62,10 +63,7 @@
     }
 
     pub fn listed(&mut self, zone: String, epoch: u64, engines: Vec<EngineEntry>) {
-        let Some(table) = self.zones.listed(zone, epoch, engines) else {
-            return;
-        };
-        if let Some(news) = self.zones.take(table) {
+        if let Some(news) = self.zones.listed(zone, epoch, engines) {
             self.publish_zone(&news);
             let change = news.change.unwrap_or_else(|| news.table.newest());
             self.send_change(change, news.table);
--- a/crates/control-cell/src/actor/zones.rs
+++ b/crates/control-cell/src/actor/zones.rs
@@ -66,32 +66,43 @@
         });
     }
 
-    /// The table that a list which was read makes; none when it says nothing new.
-    pub fn listed(&self, zone: String, epoch: u64, engines: Vec<EngineEntry>) -> Option<ZoneTable> {
+    /// Takes a list that was read of a zone held here; none when it says nothing new.
+    pub fn listed(
+        &mut self,
+        zone: String,
+        epoch: u64,
+        engines: Vec<EngineEntry>,
+    ) -> Option<ZoneNews> {
         let first = self.starts << 32;
-        let table = |seq| ZoneTable { zone: zone.clone(), epoch, seq, engines };
-        match self.tables.get(&zone) {
-            Some(t) if t.epoch > epoch => None,
-            Some(t) if t.epoch == epoch && t.seq >= first => {
-                let next = table((t.seq + 1).max(first));
-                let change = t.change_to(&next);
-                let says_news = !change.put.is_empty() || !change.removed.is_empty();
-                says_news.then_some(next)
-            }
-            // A table of this cell's life before, or of another holder, is published anew whatever it says.
-            _ => Some(table(first)),
+        let kept = self.tables.get(&zone);
+        if kept.is_some_and(|t| t.epoch > epoch) {
+            return None;
+        }
+        // A table of this cell's life before, or of another holder, is published anew whatever it says.
+        let goes_on = kept.filter(|t| t.epoch == epoch && t.seq >= first);
+        let seq = goes_on.map_or(first, |t| t.seq + 1);
+        let must_publish = goes_on.is_none();
+        let table = ZoneTable { zone, epoch, seq, engines };
+        let change = kept.map(|t| t.change_to(&table));
+        if !must_publish && change.as_ref().is_some_and(ZoneChange::is_empty) {
+            return None;
         }
+        Some(self.keep(table, change))
     }
 
     /// Keeps a table that is newer than the one kept, and says what it is to followers.
     pub fn take(&mut self, table: ZoneTable) -> Option<ZoneNews> {
-        let change = match self.tables.get(&table.zone) {
-            Some(kept) if kept.version() >= table.version() => return None,
-            Some(kept) => Some(kept.change_to(&table)),
-            None => None,
-        };
+        let kept = self.tables.get(&table.zone);
+        if kept.is_some_and(|t| t.version() >= table.version()) {
+            return None;
+        }
+        let change = kept.map(|t| t.change_to(&table));
+        Some(self.keep(table, change))
+    }
+
+    fn keep(&mut self, table: ZoneTable, change: Option<ZoneChange>) -> ZoneNews {
         self.tables.insert(table.zone.clone(), table.clone());
-        Some(ZoneNews { change, table })
+        ZoneNews { change, table }
     }
 
     /// Takes what a holder says has changed of its zone.
--- a/crates/control-cell/src/feed/mod.rs
+++ b/crates/control-cell/src/feed/mod.rs
@@ -135,7 +135,6 @@
         if self.followers.is_empty() {
             return;
         }
-        let frame_of = |n: &Numbered| encode(&FeedMsg::Items(vec![n.clone()]));
         let frame = frame_of(n);
         let whole = whole.map_or(frame.clone(), frame_of);
         let patch = matches!(n.item, FeedItem::ConfigPatch { .. });
@@ -192,6 +191,9 @@
         if !vouches {
             self.followers.clear();
         }
+        if self.followers.is_empty() {
+            return;
+        }
         for (topics, next) in TOPICS.into_iter().zip(&mut self.next_heartbeats) {
             // The clock of duties is coarse: one that is nearly due goes out now rather than late.
             if now + DUTY_EVERY / 2 < *next {
@@ -199,9 +201,14 @@
             }
             *next = now + FeedBounds::from_settings(bounds, topics).heartbeat;
             let item = Numbered { no: self.no, item: FeedItem::Heartbeat };
-            let frame = encode(&FeedMsg::Items(vec![item]));
+            let frame = frame_of(&item);
             self.followers
                 .retain(|f| f.request.topics != topics || f.frames.try_send(frame.clone()).is_ok());
         }
     }
 }
+
+/// One item as followers are sent it.
+fn frame_of(item: &Numbered) -> Bytes {
+    encode(&FeedMsg::Items(vec![item.clone()]))
+}
--- a/crates/control-cell/tests/feed.rs
+++ b/crates/control-cell/tests/feed.rs
@@ -1,6 +1,8 @@
 //! The feed publisher: what each kind of follower is told, and what is kept.
+mod bounds;
+
+use bounds::bounds;
 use control_cell::prelude::*;
-use node_runtime::settings::Bounds;
 
 fn config(n: u64, size: usize) -> FeedItem {
     FeedItem::Config { index: n, version: n, body: ByteBuf::from(vec![b'x'; size]) }
@@ -21,18 +23,6 @@
     out
 }
 
-fn bounds() -> Bounds {
-    Bounds {
-        contact: Duration::from_millis(3000),
-        acknowledge: Duration::from_millis(4000),
-        catch_up: Duration::from_millis(4100),
-        drain: Duration::from_millis(3000),
-        grace: Duration::from_secs(8),
-        config_apply: Duration::from_millis(2000),
-        reuse_after: Duration::from_secs(2),
-    }
-}
-
 /// A recorded row of items, and what each kind of follower is told of it.
 #[test]
 fn each_follower_is_told_what_it_takes() {
@@ -84,9 +74,9 @@
     let all = FeedRequest { topics: Topics::All, patches: true, zone_changes: true };
     let mut opened = book
         .open(FollowFrom { feed: 0, no: 0, request: all, holdings: Holdings::default() }, Vec::new);
-    book.heartbeat(now, true, &bounds());
+    book.heartbeat(now, true, &bounds(3000, 4100, 3000));
     assert_eq!(status(&mut opened.items), [FeedItem::Current, FeedItem::Heartbeat]);
-    book.heartbeat(now + Duration::from_millis(1), false, &bounds());
+    book.heartbeat(now + Duration::from_millis(1), false, &bounds(3000, 4100, 3000));
     assert_eq!(book.follower_count(), 0);
     assert!(opened.items.is_closed());
 }
--- a/crates/control-cell/tests/feed_bounds.rs
+++ b/crates/control-cell/tests/feed_bounds.rs
@@ -1,18 +1,12 @@
 //! A feed's silences keep to the bounds in the settings, beside the leader's.
+mod bounds;
+
 use control_cell::prelude::*;
 use internal_protocol::feed_bounds::FeedBounds;
 use node_runtime::settings::Bounds;
 
 fn settings(contact_ms: u64, catch_up_ms: u64) -> Bounds {
-    Bounds {
-        contact: Duration::from_millis(contact_ms),
-        acknowledge: Duration::from_millis(4000),
-        catch_up: Duration::from_millis(catch_up_ms),
-        drain: Duration::from_millis(3000),
-        grace: Duration::from_secs(8),
-        config_apply: Duration::from_millis(2000),
-        reuse_after: Duration::from_secs(2),
-    }
+    bounds::bounds(contact_ms, catch_up_ms, 3000)
 }
 
 /// Before a newcomer may take its place, a store whose cell has died is heard through another one: a turn
--- a/crates/control-cell/tests/members.rs
+++ b/crates/control-cell/tests/members.rs
@@ -1,10 +1,13 @@
 //! The membership policy, step by step.
+mod bounds;
+
+use bounds::bounds;
 use control_cell::duties;
 use control_cell::prelude::{
     BTreeMap, CorePolicy, Duration, JoinRequest, Member, MemberObservation, Membership,
     MembershipBounds,
 };
-use node_runtime::settings::{Bounds, Tolerated};
+use node_runtime::settings::Tolerated;
 
 const CALM: MemberObservation = MemberObservation {
     silent: Duration::ZERO,
@@ -25,15 +28,7 @@
     policy: &CorePolicy,
     observe: impl Fn(u64) -> MemberObservation,
 ) -> Option<Membership> {
-    let bounds = MembershipBounds::from_settings(&Bounds {
-        contact: Duration::from_millis(3000),
-        acknowledge: Duration::from_millis(4000),
-        catch_up: Duration::from_millis(4100),
-        drain: Duration::from_millis(3000),
-        grace: Duration::from_secs(8),
-        config_apply: Duration::from_millis(2000),
-        reuse_after: Duration::from_secs(2),
-    });
+    let bounds = MembershipBounds::from_settings(&bounds(3000, 4100, 3000));
     duties::next_membership(current, me, joiners, entry, policy, &bounds, observe)
 }
 
--- a/crates/control-cell/tests/membership_bounds.rs
+++ b/crates/control-cell/tests/membership_bounds.rs
@@ -1,18 +1,12 @@
 //! The waits of the membership duty keep to the bounds in the settings.
+mod bounds;
+
 use consensus::core::Tuning;
 use control_cell::prelude::*;
 use node_runtime::settings::Bounds;
 
 fn settings(catch_up_ms: u64, drain_ms: u64) -> Bounds {
-    Bounds {
-        contact: Duration::from_millis(drain_ms),
-        acknowledge: Duration::from_millis(4000),
-        catch_up: Duration::from_millis(catch_up_ms),
-        drain: Duration::from_millis(drain_ms),
-        grace: Duration::from_secs(8),
-        config_apply: Duration::from_millis(2000),
-        reuse_after: Duration::from_secs(2),
-    }
+    bounds::bounds(drain_ms, catch_up_ms, drain_ms)
 }
 
 /// A leader is elected after the longest wait and one election without a winner.
--- a/crates/control-cell/tests/zones.rs
+++ b/crates/control-cell/tests/zones.rs
@@ -40,7 +40,7 @@
                     engines.push(engine(id, u.ratio(1, 4)?));
                 }
             }
-            let news = holder.listed("a".into(), 3, engines).and_then(|t| holder.take(t));
+            let news = holder.listed("a".into(), 3, engines);
             let lost = u.ratio(1, 3)?;
             if let Some(news) = news.filter(|_| !lost) {
                 let change = news.change.unwrap_or_else(|| news.table.newest());
@@ -70,12 +70,11 @@
 fn a_list_in_another_order_says_nothing_new() {
     let mut holder = cell();
     let engines = vec![engine(1, false), engine(2, true)];
-    let first = holder.listed("a".into(), 3, engines.clone()).unwrap();
-    assert!(holder.take(first).is_some_and(|news| news.change.is_none()));
+    let first = holder.listed("a".into(), 3, engines.clone());
+    assert!(first.is_some_and(|news| news.change.is_none()));
     let turned: Vec<EngineEntry> = engines.into_iter().rev().collect();
     assert!(holder.listed("a".into(), 3, turned).is_none());
     // A later holder's first list is published whatever it says, since it begins a new epoch.
-    let next = holder.listed("a".into(), 4, vec![engine(1, false), engine(2, true)]).unwrap();
-    let news = holder.take(next).unwrap();
+    let news = holder.listed("a".into(), 4, vec![engine(1, false), engine(2, true)]).unwrap();
     assert!(news.change.is_some_and(|c| c.put.is_empty() && c.removed.is_empty()));
 }
--- a/crates/feed-client/src/link/mod.rs
+++ b/crates/feed-client/src/link/mod.rs
@@ -63,8 +63,8 @@
                 cells: &mut cells,
             };
             end = match look_for_home(&settings, &mut wire, &mut at, &mut asks).await {
-                Some(LinkEnd::GoesHome) => LinkEnd::GoesHome,
-                _ => run_link(&settings, &mut wire, &mut at, &mut feed, &out, &mut status)
+                Some(end) => end,
+                None => run_link(&settings, &mut wire, &mut at, &mut feed, &out, &mut status)
                     .await
                     .unwrap_or(LinkEnd::Lost),
             };
--- a/crates/internal-protocol/src/zones.rs
+++ b/crates/internal-protocol/src/zones.rs
@@ -74,6 +74,13 @@
     pub removed: Vec<String>,
 }
 
+impl ZoneChange {
+    /// It says no more of the engines than was said before.
+    pub fn is_empty(&self) -> bool {
+        self.put.is_empty() && self.removed.is_empty()
+    }
+}
+
 /// What became of a change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ZoneChangeOutcome {
